--- /dev/null
+++ b/packages/cli/balsamshore_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The balsamshore command line, for callers and operators."""
--- /dev/null
+++ b/packages/cli/balsamshore_cli/__main__.py
@@ -0,0 +1,20 @@
+"""Entry point of `balsamshore`."""
+
+import os
+import sys
+
+from balsamshore_node import environment
+
+from balsamshore_cli import core
+
+
+def run() -> None:
+    """Runs one command and exits with its status."""
+    env = environment.Environment(
+        variables=dict(os.environ), stdout=sys.stdout, stderr=sys.stderr
+    )
+    sys.exit(core.main(sys.argv[1:], env).value)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/packages/cli/balsamshore_cli/definitions.py
@@ -0,0 +1,106 @@
+"""The commands and their flags; the work is elsewhere."""
+
+import fire
+from balsamshore_node import environment
+
+from balsamshore_cli import operators
+from balsamshore_cli import queries
+from balsamshore_cli import status as statuses
+
+
+class Targets:
+    """Show, check and compare targets per class."""
+
+    def __init__(self, env: environment.Environment):
+        self._env = env
+
+    @fire.decorators.SetParseFn(str)
+    def show(self, vms: str = '') -> statuses.ExitStatus:
+        """Shows the targets in force."""
+        return operators.show_targets(self._env, vms)
+
+    @fire.decorators.SetParseFn(str)
+    def check(self, file: str) -> statuses.ExitStatus:
+        """Checks a configuration document before it is published."""
+        return operators.check_document(self._env, file)
+
+    @fire.decorators.SetParseFn(str)
+    def diff(self, file: str, vms: str = '') -> statuses.ExitStatus:
+        """Compares a document's targets with those in force."""
+        return operators.compare_targets(self._env, file, vms)
+
+
+class Commands:
+    """A query tier over many shards.
+
+    Name entry VMs with --vms=HOST:PORT,... or BALSAMSHORE_VMS.
+    Exit status: 0 complete, 1 error, 2 usage, 3 partial, 4 not run,
+    5 unknown, 6 a check failed.
+    """
+
+    def __init__(self, env: environment.Environment):
+        self._env = env
+        self.targets = Targets(env)
+
+    @fire.decorators.SetParseFn(str)
+    def query(
+        self,
+        class_name: str,
+        request: str,
+        vms: str = '',
+        deadline_ms: str = '0',
+        domain: str = '',
+        stream: str = 'no',
+    ) -> statuses.ExitStatus:
+        """Runs a query; REQUEST is JSON, passed on to every shard."""
+        return queries.run_query(
+            self._env,
+            queries.QueryOptions(
+                class_name, request, vms, deadline_ms, domain, stream, ''
+            ),
+        )
+
+    @fire.decorators.SetParseFn(str)
+    def fetch(
+        self,
+        class_name: str,
+        request: str,
+        vms: str = '',
+        deadline_ms: str = '0',
+        domain: str = '',
+        request_id: str = '',
+    ) -> statuses.ExitStatus:
+        """Runs a request at most once, under a request id."""
+        return queries.run_fetch(
+            self._env,
+            queries.QueryOptions(
+                class_name, request, vms, deadline_ms, domain, 'no', request_id
+            ),
+        )
+
+    @fire.decorators.SetParseFn(str)
+    def addresses(
+        self, vms: str = '', caller: str = '', domain: str = ''
+    ) -> statuses.ExitStatus:
+        """Asks which addresses a caller should use, and for how long."""
+        return queries.show_addresses(self._env, vms, caller, domain)
+
+    @fire.decorators.SetParseFn(str)
+    def status(self, vms: str = '') -> statuses.ExitStatus:
+        """Shows how each class fares and what is wrong now."""
+        return operators.show_status(self._env, vms)
+
+    @fire.decorators.SetParseFn(str)
+    def replay(self, file: str) -> statuses.ExitStatus:
+        """Replays a captured event trace and compares every action."""
+        return operators.replay_trace(self._env, file)
+
+    @fire.decorators.SetParseFn(str)
+    def demo(
+        self, rate: str = '60', seconds: str = '10', seed: str = '7'
+    ) -> statuses.ExitStatus:
+        """Runs both deployments on this machine and checks every answer."""
+        # The stand-ins are for development and may not be installed.
+        from balsamshore_cli import demo
+
+        return demo.run_demo(self._env, float(rate), float(seconds), int(seed))
--- /dev/null
+++ b/packages/cli/balsamshore_cli/demo.py
@@ -0,0 +1,122 @@
+"""The demonstration: both users' sites, with faults, checked to the truth."""
+
+import collections
+from typing import Any
+
+import anyio
+from balsamshore_node import environment
+from balsamshore_standins import fleet
+from balsamshore_standins import load
+from balsamshore_standins import plans
+from balsamshore_standins import truth
+
+from balsamshore_cli import output
+from balsamshore_cli import status
+from balsamshore_cli import summaries
+
+SLOW_FACTOR = 20.0
+MAX_SHOWN = 5
+
+
+def run_demo(
+    env: environment.Environment, rate: float, duration_s: float, seed: int
+) -> status.ExitStatus:
+    """Runs both deployments; succeeds only when every promise held.
+
+    Args:
+        env: Surroundings.
+        rate: Requests a second at each deployment.
+        duration_s: Length of the load.
+        seed: Seed of contents, load and faults.
+    """
+    held = True
+    for name in plans.USERS:
+        held = _run_site(env, name, rate, duration_s, seed) and held
+    if not held:
+        env.stderr.write('a promise was broken; see above\n')
+        return status.ExitStatus.CHECK_FAILED
+    env.stdout.write('Every answer agrees with the ledgers.\n')
+    return status.ExitStatus.SUCCESS
+
+
+def _run_site(
+    env: environment.Environment,
+    name: str,
+    rate: float,
+    duration_s: float,
+    seed: int,
+) -> bool:
+    deployment = plans.plan_deployment(name, fleet.choose_host(), seed)
+    env.stdout.write(
+        f'{name}: {len(deployment.vms)} VMs, {len(deployment.servers)} '
+        f'backend servers, {rate:g} requests/s for {duration_s:g} s; '
+        'one replica straggles, one leaves\n'
+    )
+    env.stdout.flush()
+    arrivals = load.plan_arrivals(deployment.classes, rate, duration_s, seed)
+    with fleet.Fleet(deployment) as site:
+        answered = anyio.run(_run_load, site, arrivals, duration_s)
+        verdict = truth.check(
+            deployment, answered, site.read_ledger(), site.read_stats()
+        )
+    _show(env, name, answered, verdict)
+    return not verdict.violations
+
+
+async def _run_load(
+    site: fleet.Fleet, arrivals: list[load.Arrival], duration_s: float
+) -> list[load.Answered]:
+    search = site.deployment.indexes[0].name
+    answered: list[load.Answered] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def hurt() -> None:
+            await anyio.sleep(duration_s / 4)
+            await anyio.to_thread.run_sync(_slow_down, site, f'{search}-0-0')
+            await anyio.sleep(duration_s / 4)
+            await anyio.to_thread.run_sync(_drain, site, f'{search}-1-0')
+
+        tasks.start_soon(hurt)
+        answered = await load.run_load(site.deployment, arrivals)
+    return answered
+
+
+def _slow_down(site: fleet.Fleet, server: str) -> None:
+    site.command('set', servers=[server], slow_factor=SLOW_FACTOR)
+
+
+def _drain(site: fleet.Fleet, server: str) -> None:
+    site.command('set', servers=[server], draining=True)
+
+
+def _show(
+    env: environment.Environment,
+    name: str,
+    answered: list[load.Answered],
+    verdict: truth.Truth,
+) -> None:
+    by_class: dict[str, list[load.Answered]] = collections.defaultdict(list)
+    for entry in answered:
+        by_class[entry.class_name].append(entry)
+    rows: list[tuple[Any, ...]] = []
+    for class_name, entries in by_class.items():
+        summary = summaries.summarise(entries)
+        rows.append(
+            (
+                class_name,
+                summary['requests'],
+                summary['p50_ms'],
+                summary['p99_ms'],
+                f'{summary["coverage"]:.2%}',
+                summaries.format_outcomes(summary['outcomes']),
+            )
+        )
+    columns = ('class', 'requests', 'p50 ms', 'p99 ms', 'coverage', 'outcomes')
+    output.write_table(env, name, columns, rows)
+    env.stdout.write(
+        f'extra sub-requests {verdict.extra_ratio:.2%}, most connections to '
+        f'one server {verdict.peak_connections}, broken promises '
+        f'{len(verdict.violations)}\n\n'
+    )
+    for violation in verdict.violations[:MAX_SHOWN]:
+        env.stdout.write(f'  {violation.promise}: {violation.detail}\n')
--- /dev/null
+++ b/packages/cli/balsamshore_cli/operators.py
@@ -0,0 +1,147 @@
+"""Commands of operators."""
+
+import pathlib
+from typing import Any
+
+from balsamshore_core import configuration
+from balsamshore_core import targets
+from balsamshore_core import traces
+from balsamshore_node import environment
+
+from balsamshore_cli import client
+from balsamshore_cli import errors
+from balsamshore_cli import output
+from balsamshore_cli import queries
+from balsamshore_cli import status
+
+
+def show_status(env: environment.Environment, vms: str) -> status.ExitStatus:
+    """Shows one node's view: classes, members, problems."""
+    view = client.Client(queries.list_vms(env, vms)).read('/v1/status')
+    if not env.stdout.isatty():
+        output.write_json(env, view)
+        return status.ExitStatus.SUCCESS
+    env.stdout.write(
+        f'VM {view["vm"]}: {view["state"]}, configuration {view["version"]}, '
+        f'extra load {view["extra_load"]:.1%}\n'
+    )
+    for problem in view['problems'] or ['Nothing is wrong.']:
+        env.stdout.write(f'- {problem}\n')
+    columns = ('class', 'in target', 'asked', 'coverage', 'p50 ms', 'p99 ms')
+    rows = [
+        (
+            entry['name'],
+            f'{entry["attainment"]:.1%}',
+            f'{entry["target"]["quantile"]:.1%}',
+            f'{entry["coverage"]:.2%}',
+            entry['p50_ms'],
+            entry['p99_ms'],
+        )
+        for entry in view['classes']
+    ]
+    output.write_table(env, 'classes', columns, rows)
+    members = [tuple(entry.values()) for entry in view['members']]
+    names = ('vm', 'state', 'failure domain', 'version')
+    output.write_table(env, 'VMs', names, members)
+    return status.ExitStatus.SUCCESS
+
+
+def show_targets(env: environment.Environment, vms: str) -> status.ExitStatus:
+    """Shows the targets in force."""
+    listed = client.Client(queries.list_vms(env, vms)).read('/v1/targets')
+    columns = ('class', *targets.Target.__annotations__)
+    rows = [
+        (name, *target.values()) for name, target in listed['classes'].items()
+    ]
+    title = f'targets of configuration {listed["version"]}'
+    output.write_rows(env, title, columns, rows)
+    return status.ExitStatus.SUCCESS
+
+
+def check_document(
+    env: environment.Environment, file: str
+) -> status.ExitStatus:
+    """Checks a document as every node would."""
+    checked = configuration.parse_document(_read_file(file))
+    if checked.is_error():
+        env.stderr.write(
+            f'{file} would be refused: {checked.error}\n'
+            'Correct it there and check it again.\n'
+        )
+        return status.ExitStatus.CHECK_FAILED
+    found = checked.ok
+    output.write_json(
+        env,
+        {
+            'accepted': True,
+            'version': found.version,
+            'digest': found.digest,
+            'classes': len(found.classes),
+            'backend_servers': len(found.backend_servers),
+        },
+    )
+    return status.ExitStatus.SUCCESS
+
+
+def compare_targets(
+    env: environment.Environment, file: str, vms: str
+) -> status.ExitStatus:
+    """Compares the targets in a document with those in force."""
+    checked = configuration.parse_document(_read_file(file))
+    if checked.is_error():
+        raise errors.CommandError(f'{file}: {checked.error}; correct it first')
+    listed = client.Client(queries.list_vms(env, vms)).read('/v1/targets')
+    offered = targets.describe_classes(checked.ok)
+    rows = _list_rows(listed['classes'], offered)
+    if checked.ok.version <= listed['version']:
+        env.stderr.write(
+            f'{file} has version {checked.ok.version}, but '
+            f'{listed["version"]} is in force; it would be ignored. '
+            'Give it a higher version.\n'
+        )
+    columns = ('class', 'field', 'in force', 'in the file')
+    output.write_rows(env, 'differences', columns, rows)
+    return status.ExitStatus.SUCCESS
+
+
+def replay_trace(env: environment.Environment, file: str) -> status.ExitStatus:
+    """Replays a trace; any different action fails the check."""
+    lines = _read_file(file).decode('utf-8', 'replace').splitlines()
+    steps = differing = 0
+    first = 0
+    try:
+        for step in traces.replay(lines):
+            steps += 1
+            if not step.same:
+                differing += 1
+                first = first or step.line
+    except traces.TraceError as error:
+        raise errors.CommandError(
+            f'{file}: {error}; capture it again with --capture_file'
+        ) from error
+    output.write_json(
+        env,
+        {'steps': steps, 'differing': differing, 'first_differing_line': first},
+    )
+    if differing or not steps:
+        return status.ExitStatus.CHECK_FAILED
+    return status.ExitStatus.SUCCESS
+
+
+def _read_file(file: str) -> bytes:
+    try:
+        return pathlib.Path(file).read_bytes()
+    except OSError as error:
+        raise errors.CommandError(f'{file}: {error.strerror}') from error
+
+
+def _list_rows(
+    before: dict[str, Any], after: dict[str, Any]
+) -> list[tuple[str, str, Any, Any]]:
+    rows = []
+    for name in sorted(set(before) | set(after)):
+        old, new = before.get(name, {}), after.get(name, {})
+        for field in targets.Target.__annotations__:
+            if old.get(field) != new.get(field):
+                rows.append((name, field, old.get(field), new.get(field)))
+    return rows
--- /dev/null
+++ b/packages/cli/balsamshore_cli/queries.py
@@ -0,0 +1,121 @@
+"""Commands of callers."""
+
+import json
+import os
+from typing import Any
+from typing import NamedTuple
+
+from balsamshore_node import environment
+
+from balsamshore_cli import client
+from balsamshore_cli import errors
+from balsamshore_cli import output
+from balsamshore_cli import status
+
+VMS_VARIABLE = 'BALSAMSHORE_VMS'
+
+
+class QueryOptions(NamedTuple):
+    """What a caller typed."""
+
+    class_name: str
+    request: str
+    vms: str
+    deadline_ms: str
+    domain: str
+    stream: str
+    request_id: str
+
+
+def list_vms(env: environment.Environment, vms: str) -> list[str]:
+    """Returns the VMs named by flag or variable."""
+    text = vms or env.variables.get(VMS_VARIABLE, '')
+    if not text:
+        raise errors.CommandError(
+            f'no VM is known; give --vms=HOST:PORT,... or set {VMS_VARIABLE}'
+        )
+    return text.split(',')
+
+
+def run_query(
+    env: environment.Environment, options: QueryOptions
+) -> status.ExitStatus:
+    """Runs a query that may be repeated."""
+    caller = _connect(env, options)
+    fields = _build_fields(options)
+    if options.stream != 'no':
+        return _run_stream(env, caller, fields)
+    return _show_answer(env, caller.query(fields))
+
+
+def run_fetch(
+    env: environment.Environment, options: QueryOptions
+) -> status.ExitStatus:
+    """Runs a request at most once."""
+    caller = _connect(env, options)
+    fields = _build_fields(options)
+    request_id = options.request_id or caller.take_request_id()
+    env.stderr.write(f'request id {request_id}\n')
+    fields['request_id'] = request_id
+    return _show_answer(env, caller.query(fields))
+
+
+def show_addresses(
+    env: environment.Environment, vms: str, caller: str, domain: str
+) -> status.ExitStatus:
+    """Shows the addresses for one caller."""
+    asker = client.Client(list_vms(env, vms))
+    name = caller or f'cli-{os.getpid()}'
+    output.write_json(env, asker.find_addresses(name, domain))
+    return status.ExitStatus.SUCCESS
+
+
+def _connect(
+    env: environment.Environment, options: QueryOptions
+) -> client.Client:
+    caller = client.Client(list_vms(env, options.vms))
+    caller.use_best_addresses(f'cli-{os.getpid()}', options.domain)
+    return caller
+
+
+def _build_fields(options: QueryOptions) -> dict[str, Any]:
+    try:
+        request = json.loads(options.request)
+    except ValueError as error:
+        raise errors.CommandError(
+            f'the request is not valid JSON ({error}); '
+            'quote it, like \'{"key": "KL-1"}\''
+        ) from error
+    try:
+        deadline_ms = float(options.deadline_ms)
+    except ValueError:
+        raise errors.CommandError(
+            f'--deadline_ms={options.deadline_ms}: must be a number'
+        ) from None
+    return {
+        'class': options.class_name,
+        'request': request,
+        'deadline_ms': deadline_ms,
+    }
+
+
+def _run_stream(
+    env: environment.Environment, caller: client.Client, fields: dict[str, Any]
+) -> status.ExitStatus:
+    last: dict[str, Any] = {}
+    for line in caller.stream(fields):
+        env.stdout.write(line + '\n')
+        env.stdout.flush()
+        last = json.loads(line)
+    return status.BY_OUTCOME.get(
+        last.get('outcome', ''), status.ExitStatus.ERROR
+    )
+
+
+def _show_answer(
+    env: environment.Environment, answer: dict[str, Any]
+) -> status.ExitStatus:
+    output.write_json(env, answer)
+    if answer.get('next'):
+        env.stderr.write(f'{answer["message"]}; {answer["next"]}\n')
+    return status.BY_OUTCOME[answer['outcome']]
--- /dev/null
+++ b/packages/cli/balsamshore_cli/summaries.py
@@ -0,0 +1,47 @@
+"""Figures of one run, from what the callers saw."""
+
+import collections
+import math
+from typing import TypedDict
+
+from balsamshore_standins import load
+
+
+class Summary(TypedDict):
+    """Figures over some requests; durations in milliseconds."""
+
+    requests: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    coverage: float
+    outcomes: dict[str, int]
+
+
+def summarise(entries: list[load.Answered]) -> Summary:
+    """Computes the figures of a non-empty list of requests."""
+    latencies = sorted(entry.latency_s * 1000 for entry in entries)
+    outcomes = collections.Counter(entry.outcome for entry in entries)
+    return {
+        'requests': len(entries),
+        'p50_ms': round(find_quantile(latencies, 0.5), 2),
+        'p99_ms': round(find_quantile(latencies, 0.99), 2),
+        'p999_ms': round(find_quantile(latencies, 0.999), 2),
+        'coverage': sum(map(read_coverage, entries)) / len(entries),
+        'outcomes': dict(outcomes),
+    }
+
+
+def find_quantile(ordered: list[float], share: float) -> float:
+    """Returns the smallest value that `share` of the values do not pass."""
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def read_coverage(entry: load.Answered) -> float:
+    """Returns the coverage of one answer, 0 when there is none."""
+    return entry.answer.get('coverage', {}).get('ratio', 0.0)
+
+
+def format_outcomes(outcomes: dict[str, int]) -> str:
+    """Writes counts of outcome words on one line."""
+    return ', '.join(f'{name} {count}' for name, count in outcomes.items())
--- /dev/null
+++ b/packages/core/balsamshore_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the balsamshore query tier, free of I/O."""
--- /dev/null
+++ b/packages/core/balsamshore_core/admission.py
@@ -0,0 +1,208 @@
+"""Admission to each index, from the classes' targets alone.
+
+A query waits in order of its latest useful start, so urgent classes go
+first and none starves. The number that may run at once falls when answers
+are late or servers shed, and grows while the limit is used and answers are
+on time. What cannot finish in time is refused at the door.
+"""
+
+import collections.abc
+import heapq
+from typing import Any
+
+from balsamshore_core import actions
+from balsamshore_core import blackboard
+from balsamshore_core import commands
+from balsamshore_core import events
+from balsamshore_core import requestids
+
+START_LIMIT = 16.0
+MIN_LIMIT = 2.0
+MAX_LIMIT = 256.0
+DECREASE_RATIO = 0.8
+DECREASE_PAUSE_S = 0.1
+CONGESTED_SHARE_OF_TARGET = 0.6
+TYPICAL_SMOOTHING = 0.1
+MAX_WAITING = 512
+MIN_RETRY_AFTER_S = 0.05
+
+Messages = collections.abc.Iterator[Any]
+
+
+def _consider(
+    board: blackboard.Blackboard, message: commands.QueryCleared, now: float
+) -> Messages:
+    arrival = message.arrival
+    current = board.configuration.current
+    if current is None:
+        yield requestids.refuse(arrival.query_id, 'starting', 1.0)
+        return
+    target = current.classes.get(arrival.class_name)
+    if target is None:
+        yield requestids.refuse(arrival.query_id, 'unknown_class')
+        return
+    if not target.idempotent and not board.lifecycle.lease_valid:
+        yield requestids.refuse(arrival.query_id, 'lease_expired', 1.0)
+        return
+    section = board.admission
+    gate = section.gates.setdefault(
+        target.index_name, blackboard.Gate(START_LIMIT)
+    )
+    allowed_s = arrival.deadline_s or target.deadline_s
+    latest_start = now + allowed_s - gate.typical_s
+    wait_s = _expect_wait(gate, latest_start)
+    if wait_s > allowed_s - gate.typical_s or len(gate.waiting) >= MAX_WAITING:
+        _tally(board, arrival.class_name).not_run += 1
+        yield requestids.refuse(
+            arrival.query_id, 'overloaded', max(MIN_RETRY_AFTER_S, wait_s)
+        )
+        return
+    section.sequence += 1
+    heapq.heappush(gate.waiting, (latest_start, section.sequence, arrival, now))
+    section.waiting.add(arrival.query_id)
+    yield commands.StartTimer(
+        now + allowed_s, events.TimerDue('wait_end', arrival.query_id)
+    )
+    yield from _admit(board, target.index_name, now)
+
+
+def _expect_wait(gate: blackboard.Gate, latest_start: float) -> float:
+    """Seconds until the gate would reach a query with this latest start."""
+    if gate.running < int(gate.limit) and not gate.waiting:
+        return 0.0
+    ahead = sum(entry[0] <= latest_start for entry in gate.waiting)
+    return (ahead + 1) * gate.typical_s / gate.limit
+
+
+def _admit(board: blackboard.Blackboard, index: str, now: float) -> Messages:
+    section = board.admission
+    gate = section.gates[index]
+    while gate.waiting and gate.running < int(gate.limit):
+        latest_start, _, arrival, arrived_at = heapq.heappop(gate.waiting)
+        if arrival.query_id not in section.waiting:
+            continue
+        section.waiting.discard(arrival.query_id)
+        if now > latest_start + gate.typical_s / 2:
+            yield from _refuse_late(board, arrival, gate)
+            continue
+        gate.running += 1
+        section.started[arrival.query_id] = index
+        yield commands.QueryAdmitted(arrival, arrived_at)
+
+
+def _refuse_late(
+    board: blackboard.Blackboard,
+    arrival: events.QueryArrived,
+    gate: blackboard.Gate,
+) -> Messages:
+    _tally(board, arrival.class_name).not_run += 1
+    yield requestids.refuse(
+        arrival.query_id,
+        'overloaded',
+        max(MIN_RETRY_AFTER_S, len(gate.waiting) * gate.typical_s / gate.limit),
+    )
+
+
+def _end_wait(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    section = board.admission
+    if message.key not in section.waiting:
+        return
+    section.waiting.discard(int(message.key))
+    for gate in section.gates.values():
+        for _, _, arrival, _ in gate.waiting:
+            if arrival.query_id == message.key:
+                yield from _refuse_late(board, arrival, gate)
+
+
+def _withdraw(
+    board: blackboard.Blackboard, message: events.CallerWithdrew, now: float
+) -> Messages:
+    section = board.admission
+    if message.query_id in section.waiting:
+        section.waiting.discard(message.query_id)
+        yield requestids.refuse(message.query_id, 'withdrawn')
+    elif message.query_id in section.started:
+        yield commands.QueryWithdrawn(message.query_id)
+
+
+def _finished(
+    board: blackboard.Blackboard, message: commands.QueryFinished, now: float
+) -> Messages:
+    section = board.admission
+    section.started.pop(message.answer.query_id, None)
+    gate = section.gates[message.index_name]
+    gate.running -= 1
+    _record(board, message)
+    if message.answer.reason != 'withdrawn':
+        _adapt(board, gate, message, now)
+    yield actions.Measure(f'latency.{message.class_name}', message.elapsed_s)
+    outcome = message.answer.outcome.replace(' ', '_')
+    yield actions.Count(f'answers.{message.class_name}.{outcome}')
+    yield from _admit(board, message.index_name, now)
+
+
+def _adapt(
+    board: blackboard.Blackboard,
+    gate: blackboard.Gate,
+    message: commands.QueryFinished,
+    now: float,
+) -> None:
+    current = board.configuration.current
+    assert current is not None
+    tightest_s = min(
+        (
+            target.deadline_s
+            for target in current.classes.values()
+            if target.index_name == message.index_name
+        ),
+        default=message.started_s,
+    )
+    gate.typical_s += TYPICAL_SMOOTHING * (message.started_s - gate.typical_s)
+    late = gate.typical_s > CONGESTED_SHARE_OF_TARGET * tightest_s
+    if message.congested or late:
+        if now - gate.decreased_at > DECREASE_PAUSE_S:
+            gate.limit = max(MIN_LIMIT, gate.limit * DECREASE_RATIO)
+            gate.decreased_at = now
+    elif gate.running + 1 >= int(gate.limit):
+        gate.limit = min(MAX_LIMIT, gate.limit + 1.0 / gate.limit)
+
+
+def _record(
+    board: blackboard.Blackboard, message: commands.QueryFinished
+) -> None:
+    tally = _tally(board, message.class_name)
+    answer = message.answer
+    if answer.reason == 'withdrawn':
+        tally.withdrawn += 1
+        return
+    field = answer.outcome.replace(' ', '_')
+    setattr(tally, field, getattr(tally, field) + 1)
+    tally.answered += 1
+    tally.coverage_sum += answer.coverage
+    tally.latencies.add(message.elapsed_s)
+    current = board.configuration.current
+    target = current.classes.get(message.class_name) if current else None
+    if (
+        target is not None
+        and message.elapsed_s <= target.deadline_s
+        and answer.coverage >= target.coverage_floor
+    ):
+        tally.within_target += 1
+
+
+def _tally(
+    board: blackboard.Blackboard, class_name: str
+) -> blackboard.ClassTally:
+    return board.admission.tallies.setdefault(
+        class_name, blackboard.ClassTally()
+    )
+
+
+HANDLERS = {
+    commands.QueryCleared: _consider,
+    commands.QueryFinished: _finished,
+    events.CallerWithdrew: _withdraw,
+    'wait_end': _end_wait,
+}
--- /dev/null
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -0,0 +1,358 @@
+"""The node's view of the world, in sections with one writer each.
+
+Sections are mutable records; messages are `NamedTuple`s. Every controller
+may read every section.
+"""
+
+import collections
+import dataclasses
+import random
+
+from balsamshore_core import actions
+from balsamshore_core import budgets
+from balsamshore_core import commands
+from balsamshore_core import configuration
+from balsamshore_core import events
+from balsamshore_core import quantiles
+
+
+class Identity:
+    """Who this node is; fixed at start.
+
+    Attributes:
+        name: Name of the VM.
+        incarnation: Start of the process in ms; larger is later.
+        address: Where callers reach it, `host:port`.
+        peer_address: Where nodes reach it, `host:port`.
+        failure_domain: Where it stands.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        address: str,
+        peer_address: str,
+        failure_domain: str,
+    ):
+        self.name = name
+        self.incarnation = incarnation
+        self.address = address
+        self.peer_address = peer_address
+        self.failure_domain = failure_domain
+
+
+@dataclasses.dataclass(slots=True)
+class ConfigurationSection:
+    """Writer: `versions`."""
+
+    current: configuration.Configuration | None = None
+    rejected_version: int = 0
+    rejected_digest: str = ''
+    rejected_reason: str = ''
+    conflict: bool = False
+    confirmed_at: float = -1e9
+    fetching_until: float = 0.0
+    peer_fetch_until: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Replica:
+    """What this node has seen of one backend server."""
+
+    server: configuration.BackendServer
+    in_flight: int = 0
+    latency_s: float = 0.0
+    latency_at: float = 0.0
+    last_reply_at: float = -1e9
+    cold_until: float = 0.0
+    shed_until: float = 0.0
+    leaving_until: float = 0.0
+    stalled: bool = False
+    lost_at: float = -1e9
+    failures: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicaSection:
+    """Writer: `replicas`."""
+
+    replicas: dict[str, Replica] = dataclasses.field(default_factory=dict)
+    latencies: dict[tuple[str, str], quantiles.Histogram] = dataclasses.field(
+        default_factory=dict
+    )
+    leaving: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Connection:
+    """One connection to a backend server."""
+
+    connection_id: int
+    server: str
+    state: str
+    opened_at: float
+    attempt_id: int = 0
+    sent_at: float = 0.0
+    progress_at: float = 0.0
+    index: str = ''
+    shard: str = ''
+    dropped: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ServerPool:
+    """The connections to one backend server."""
+
+    server: str
+    address: str
+    share: int
+    idle: list[int] = dataclasses.field(default_factory=list)
+    members: set[int] = dataclasses.field(default_factory=set)
+    opening: int = 0
+    reopen_at: float = 0.0
+    failures: int = 0
+    reserved: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class WaitingRoom:
+    """Attempts that wait for a connection, by index and shard."""
+
+    by_shard: dict[tuple[str, str], collections.deque[int]] = dataclasses.field(
+        default_factory=dict
+    )
+    wanted: dict[int, commands.AttemptWanted] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class ConnectionSection:
+    """Writer: `connections`."""
+
+    connections: dict[int, Connection] = dataclasses.field(default_factory=dict)
+    pools: dict[str, ServerPool] = dataclasses.field(default_factory=dict)
+    by_attempt: dict[int, int] = dataclasses.field(default_factory=dict)
+    waiting: WaitingRoom = dataclasses.field(default_factory=WaitingRoom)
+    next_id: int = 1
+    sweep_position: int = 0
+    fleet_peak: int = 1
+    fleet_peak_until: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One sub-request."""
+
+    attempt_id: int
+    query_id: int
+    shard: str
+    kind: str
+    state: str = 'waiting'
+    server: str = ''
+    sent_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class ShardState:
+    """The progress of one shard of a query."""
+
+    name: str
+    body: bytes | None = None
+    reason: str = ''
+    live: list[int] = dataclasses.field(default_factory=list)
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class Query:
+    """A started query."""
+
+    arrival: events.QueryArrived
+    target: configuration.ClassTarget
+    snapshot: configuration.Snapshot
+    fingerprint: str
+    arrived_at: float
+    started_at: float
+    soft_at: float
+    deadline_at: float
+    shards: dict[str, ShardState] = dataclasses.field(default_factory=dict)
+    open_shards: int = 0
+    phase: str = 'scatter'
+    alone: bool = False
+    uncertain: int = 0
+    released: bool = False
+    restarts: int = 0
+    congested: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class QuerySection:
+    """Writer: `queries`."""
+
+    queries: dict[int, Query] = dataclasses.field(default_factory=dict)
+    attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    next_attempt_id: int = 1
+    hedge_budget: budgets.Budget = dataclasses.field(
+        default_factory=budgets.new_hedge_budget
+    )
+    retry_budget: budgets.Budget = dataclasses.field(
+        default_factory=budgets.new_retry_budget
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class ClassTally:
+    """How one class has fared, for the operators."""
+
+    answered: int = 0
+    within_target: int = 0
+    complete: int = 0
+    partial: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    withdrawn: int = 0
+    coverage_sum: float = 0.0
+    latencies: quantiles.Histogram = dataclasses.field(
+        default_factory=quantiles.Histogram
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Gate:
+    """Admission to one index.
+
+    Attributes:
+        limit: Queries that may run at once.
+        running: Queries that run.
+        waiting: Latest useful start, sequence and arrival, as a heap.
+        typical_s: Smoothed time from start to answer.
+    """
+
+    limit: float
+    running: int = 0
+    waiting: list[tuple[float, int, events.QueryArrived, float]] = (
+        dataclasses.field(default_factory=list)
+    )
+    typical_s: float = 0.01
+    decreased_at: float = -1e9
+
+
+@dataclasses.dataclass(slots=True)
+class AdmissionSection:
+    """Writer: `admission`."""
+
+    gates: dict[str, Gate] = dataclasses.field(default_factory=dict)
+    waiting: set[int] = dataclasses.field(default_factory=set)
+    started: dict[int, str] = dataclasses.field(default_factory=dict)
+    tallies: dict[str, ClassTally] = dataclasses.field(default_factory=dict)
+    sequence: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class IssuedId:
+    """A request id that this incarnation gave out."""
+
+    expires_at: float
+    state: str = 'unused'
+    fingerprint: str = ''
+    query_id: int = 0
+    waiting: list[int] = dataclasses.field(default_factory=list)
+    answer: actions.Answer | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class RequestIdSection:
+    """Writer: `requestids`."""
+
+    issued: dict[int, IssuedId] = dataclasses.field(default_factory=dict)
+    by_query: dict[int, int] = dataclasses.field(default_factory=dict)
+    next_sequence: int = 1
+
+
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """A fingerprint that was running when servers were lost."""
+
+    losses: int
+    expires_at: float
+    announced_losses: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class QuarantineSection:
+    """Writer: `quarantine`."""
+
+    suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
+    safe: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    losses: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """What this node believes of one VM."""
+
+    update: events.MemberUpdate
+    changed_at: float
+    tells_left: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class MemberSection:
+    """Writer: `membership`."""
+
+    members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    listed: dict[str, events.VmEntry] = dataclasses.field(default_factory=dict)
+    probes: dict[int, tuple[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    relayed: dict[int, tuple[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    sequence: int = 0
+    refutation: int = 0
+    order: list[str] = dataclasses.field(default_factory=list)
+    quiet_until: float = 0.0
+    versions: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class LifecycleSection:
+    """Writer: `lifecycle`."""
+
+    state: str = 'starting'
+    lease_valid: bool = True
+    leave_at: float = 0.0
+    last_step_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Blackboard:
+    """Everything that the node knows."""
+
+    identity: Identity
+    rng: random.Random
+    configuration: ConfigurationSection = dataclasses.field(
+        default_factory=ConfigurationSection
+    )
+    replicas: ReplicaSection = dataclasses.field(default_factory=ReplicaSection)
+    connections: ConnectionSection = dataclasses.field(
+        default_factory=ConnectionSection
+    )
+    queries: QuerySection = dataclasses.field(default_factory=QuerySection)
+    admission: AdmissionSection = dataclasses.field(
+        default_factory=AdmissionSection
+    )
+    request_ids: RequestIdSection = dataclasses.field(
+        default_factory=RequestIdSection
+    )
+    quarantine: QuarantineSection = dataclasses.field(
+        default_factory=QuarantineSection
+    )
+    members: MemberSection = dataclasses.field(default_factory=MemberSection)
+    lifecycle: LifecycleSection = dataclasses.field(
+        default_factory=LifecycleSection
+    )
--- /dev/null
+++ b/packages/core/balsamshore_core/engine.py
@@ -0,0 +1,116 @@
+"""The driver of the decisions: one event in, a list of actions out.
+
+The same list of (event, now) always gives the same list of actions: the
+only randomness is the seeded generator on the blackboard.
+"""
+
+import collections
+import heapq
+import typing
+from typing import Any
+from typing import Protocol
+
+from balsamshore_core import actions
+from balsamshore_core import admission
+from balsamshore_core import blackboard
+from balsamshore_core import commands
+from balsamshore_core import connections
+from balsamshore_core import events
+from balsamshore_core import lifecycle
+from balsamshore_core import membership
+from balsamshore_core import quarantine
+from balsamshore_core import queries
+from balsamshore_core import replicas
+from balsamshore_core import requestids
+from balsamshore_core import versions
+
+CLOCK_JUMP_S = 3.0
+ACTION_TYPES = frozenset(typing.get_args(actions.Action))
+CONTROLLERS = (
+    lifecycle,
+    versions,
+    membership,
+    replicas,
+    connections,
+    quarantine,
+    requestids,
+    admission,
+    queries,
+)
+
+
+class Controller(Protocol):
+    """A module that writes one section of the blackboard.
+
+    `HANDLERS` maps an event or command type, or for `TimerDue` its kind, to
+    a function of (blackboard, event, now) that yields commands and actions.
+    """
+
+    HANDLERS: dict
+
+
+class Engine:
+    """Drives the controllers over one blackboard."""
+
+    def __init__(self, board: blackboard.Blackboard, now: float):
+        self.board = board
+        self._timers: list[tuple[float, int, events.TimerDue]] = []
+        self._timer_sequence = 0
+        self._routes: dict[Any, list] = collections.defaultdict(list)
+        for controller in CONTROLLERS:
+            for key, handler in controller.HANDLERS.items():
+                self._routes[key].append(handler)
+        self._last_at = now
+
+    def start(self, now: float) -> list[actions.Action]:
+        """Returns the first actions of a node that has just started."""
+        output: list[actions.Action] = []
+        for controller in CONTROLLERS:
+            begin = getattr(controller, 'begin', None)
+            if begin is not None:
+                for message in begin(self.board, now):
+                    self._deliver(message, now, output)
+        return output
+
+    def step(self, event: Any, now: float) -> list[actions.Action]:
+        """Handles the timers that are due, then one event.
+
+        Args:
+            event: One of `events`.
+            now: Monotonic seconds, never less than before.
+        """
+        output: list[actions.Action] = []
+        gap = now - self._last_at
+        self._last_at = now
+        if gap > CLOCK_JUMP_S:
+            self._deliver(events.ClockJumped(gap), now, output)
+        while self._timers and self._timers[0][0] <= now:
+            _, _, due = heapq.heappop(self._timers)
+            self._deliver(due, now, output)
+        self._deliver(event, now, output)
+        return output
+
+    def next_due(self) -> float | None:
+        """Returns when the earliest timer is due, or None."""
+        return self._timers[0][0] if self._timers else None
+
+    def _deliver(
+        self, first: Any, now: float, output: list[actions.Action]
+    ) -> None:
+        pending = collections.deque((first,))
+        while pending:
+            message = pending.popleft()
+            kind = type(message)
+            if kind is commands.StartTimer:
+                self._timer_sequence += 1
+                heapq.heappush(
+                    self._timers,
+                    (message.due_at, self._timer_sequence, message.event),
+                )
+                continue
+            key = message.kind if kind is events.TimerDue else kind
+            handlers = self._routes.get(key)
+            if kind in ACTION_TYPES:
+                output.append(message)
+            for handler in handlers or ():
+                pending.extend(handler(self.board, message, now))
--- /dev/null
+++ b/packages/core/balsamshore_core/quarantine.py
@@ -0,0 +1,135 @@
+"""Fingerprints of requests that were running when servers were lost.
+
+A fingerprint with one loss gets one more attempt, alone on its server. A
+second loss stops it on every node that hears of it, until it expires.
+Losses of many servers at once are a wider failure and count against none.
+"""
+
+import collections.abc
+from typing import Any
+
+from balsamshore_core import actions
+from balsamshore_core import blackboard
+from balsamshore_core import commands
+from balsamshore_core import events
+
+QUARANTINE_S = 300.0
+SUSPECT_S = 60.0
+STOP_LOSSES = 2
+MAX_SUSPECTS = 1_000
+MAX_SAFE = 20_000
+MASS_LOSS_WINDOW_S = 1.0
+MASS_LOSS_SERVERS = 4
+
+Messages = collections.abc.Iterator[Any]
+
+
+def count_losses(
+    board: blackboard.Blackboard, fingerprint: str, now: float
+) -> int:
+    """Returns how many servers were lost while running the fingerprint."""
+    suspect = board.quarantine.suspects.get(fingerprint)
+    if suspect is None or now >= suspect.expires_at:
+        return 0
+    return suspect.losses
+
+
+def is_safe(board: blackboard.Blackboard, fingerprint: str) -> bool:
+    """Tells whether some server has answered this fingerprint before."""
+    return fingerprint in board.quarantine.safe
+
+
+def list_notices(
+    board: blackboard.Blackboard, now: float, limit: int
+) -> tuple[events.SuspectNotice, ...]:
+    """The newest suspicions, for peers."""
+    newest = list(board.quarantine.suspects.items())[-limit:]
+    return tuple(
+        events.SuspectNotice(name, suspect.losses, suspect.expires_at - now)
+        for name, suspect in newest
+        if suspect.expires_at > now
+    )
+
+
+def _note_server_lost(
+    board: blackboard.Blackboard, message: commands.ServerLost, now: float
+) -> Messages:
+    losses = board.quarantine.losses
+    if message.running:
+        losses.append((now, message.server))
+    while losses and losses[0][0] < now - MASS_LOSS_WINDOW_S:
+        losses.pop(0)
+    yield from ()
+
+
+def _note_lost(
+    board: blackboard.Blackboard, message: commands.FingerprintLost, now: float
+) -> Messages:
+    section = board.quarantine
+    section.safe.pop(message.fingerprint, None)
+    others = {name for _, name in section.losses if name != message.server}
+    if len(others) >= MASS_LOSS_SERVERS:
+        yield actions.Count('mass_losses')
+        return
+    losses = count_losses(board, message.fingerprint, now) + 1
+    _remember(board, message.fingerprint, losses, now)
+    yield actions.Count('fingerprint_losses')
+    yield commands.PeerNoticeWanted()
+    if losses >= STOP_LOSSES:
+        yield actions.Report(
+            'warning',
+            f'request {message.fingerprint} stopped for '
+            f'{QUARANTINE_S:.0f} s: backend servers were lost running it, '
+            f'the last one {message.server}',
+        )
+
+
+def _remember(
+    board: blackboard.Blackboard, fingerprint: str, losses: int, now: float
+) -> None:
+    suspects = board.quarantine.suspects
+    lifetime = QUARANTINE_S if losses >= STOP_LOSSES else SUSPECT_S
+    suspects.pop(fingerprint, None)
+    suspects[fingerprint] = blackboard.Suspect(losses, now + lifetime)
+    while len(suspects) > MAX_SUSPECTS:
+        suspects.pop(next(iter(suspects)))
+
+
+def _note_safe(
+    board: blackboard.Blackboard, message: commands.FingerprintSafe, now: float
+) -> Messages:
+    section = board.quarantine
+    section.safe[message.fingerprint] = None
+    section.safe.move_to_end(message.fingerprint)
+    while len(section.safe) > MAX_SAFE:
+        section.safe.popitem(last=False)
+    suspect = section.suspects.get(message.fingerprint)
+    if suspect is not None and suspect.losses < STOP_LOSSES:
+        del section.suspects[message.fingerprint]
+    yield from ()
+
+
+def _hear(
+    board: blackboard.Blackboard,
+    message: events.PeerMessageArrived,
+    now: float,
+) -> Messages:
+    for notice in message.message.suspects:
+        known = count_losses(board, notice.fingerprint, now)
+        if notice.losses > known and notice.remaining_s > 0:
+            section = board.quarantine
+            section.safe.pop(notice.fingerprint, None)
+            _remember(board, notice.fingerprint, notice.losses, now)
+            suspect = section.suspects[notice.fingerprint]
+            suspect.expires_at = min(
+                suspect.expires_at, now + notice.remaining_s
+            )
+    yield from ()
+
+
+HANDLERS = {
+    commands.ServerLost: _note_server_lost,
+    commands.FingerprintLost: _note_lost,
+    commands.FingerprintSafe: _note_safe,
+    events.PeerMessageArrived: _hear,
+}
--- /dev/null
+++ b/packages/core/balsamshore_core/queries.py
@@ -0,0 +1,559 @@
+"""Scatter and gather: from an admitted query to one true answer.
+
+The snapshot and its shard map are pinned when the query starts. Every shard
+of that map ends covered or lacking, so coverage is true by construction.
+
+A fingerprint not yet known to be safe is first sent to a single shard (a
+canary request, Dean and Barroso, "The Tail at Scale", 2013); the others
+follow its reply.
+"""
+
+import collections.abc
+import hashlib
+from typing import Any
+
+from balsamshore_core import actions
+from balsamshore_core import blackboard
+from balsamshore_core import commands
+from balsamshore_core import configuration
+from balsamshore_core import events
+from balsamshore_core import quarantine
+from balsamshore_core import replicas
+
+MAX_RESTARTS = 1
+MAX_ATTEMPTS_PER_SHARD = 4
+HEDGE_RECHECK_S = 0.03
+FREE_REFUSALS = frozenset(('draining', 'snapshot'))
+CRASH_CAUSES = frozenset(('reset', 'closed'))
+
+Messages = collections.abc.Iterator[Any]
+
+
+def compute_fingerprint(class_name: str, body: bytes) -> str:
+    """Names a request by class and body, as 16 hexadecimal digits."""
+    digest = hashlib.blake2b(body, digest_size=8, key=class_name.encode()[:64])
+    return digest.hexdigest()
+
+
+def choose_snapshot(
+    board: blackboard.Blackboard, index: str, now: float, newer_than: int = -1
+) -> configuration.Snapshot | None:
+    """Picks the newest snapshot whose every shard has a believed holder.
+
+    When there is none, the one with the largest share of its records held;
+    None only when nothing is newer than `newer_than`.
+    """
+    current = board.configuration.current
+    assert current is not None
+    best = None
+    best_share = -1.0
+    for snapshot in current.indexes[index]:
+        if snapshot.snapshot_id <= newer_than:
+            continue
+        share = _held_share(board, snapshot, now)
+        if share > best_share:
+            best, best_share = snapshot, share
+        if best_share == 1.0:
+            break
+    return best
+
+
+def _held_share(
+    board: blackboard.Blackboard,
+    snapshot: configuration.Snapshot,
+    now: float,
+) -> float:
+    held = total = 0
+    for shard in snapshot.shards.values():
+        total += shard.records
+        if any(replicas.is_holder(board, name, now) for name in shard.replicas):
+            held += shard.records
+    return held / total
+
+
+def _start(
+    board: blackboard.Blackboard, message: commands.QueryAdmitted, now: float
+) -> Messages:
+    current = board.configuration.current
+    assert current is not None
+    arrival = message.arrival
+    target = current.classes[arrival.class_name]
+    snapshot = choose_snapshot(board, target.index_name, now)
+    assert snapshot is not None
+    fingerprint = compute_fingerprint(arrival.class_name, arrival.body)
+    allowed_s = arrival.deadline_s or target.deadline_s
+    query = blackboard.Query(
+        arrival,
+        target,
+        snapshot,
+        fingerprint,
+        message.arrived_at,
+        now,
+        message.arrived_at + min(allowed_s, target.deadline_s),
+        message.arrived_at + allowed_s,
+    )
+    board.queries.queries[arrival.query_id] = query
+    _pin(board, query, snapshot, now)
+    if quarantine.count_losses(board, fingerprint, now) >= 2:
+        yield from _finish(board, query, 'quarantined', now)
+        return
+    yield from _launch_first(board, query, now)
+    for kind, due_at in (
+        ('query_soft', query.soft_at),
+        ('query_deadline', query.deadline_at),
+    ):
+        yield commands.StartTimer(
+            due_at, events.TimerDue(kind, arrival.query_id)
+        )
+
+
+def _pin(
+    board: blackboard.Blackboard,
+    query: blackboard.Query,
+    snapshot: configuration.Snapshot,
+    now: float,
+) -> None:
+    query.snapshot = snapshot
+    query.shards = {
+        name: blackboard.ShardState(name) for name in snapshot.shards
+    }
+    query.open_shards = len(query.shards)
+    query.alone = quarantine.count_losses(board, query.fingerprint, now) == 1
+    safe = quarantine.is_safe(board, query.fingerprint) and not query.alone
+    query.phase = 'scatter' if safe else 'canary'
+
+
+def _launch_first(
+    board: blackboard.Blackboard, query: blackboard.Query, now: float
+) -> Messages:
+    if query.phase == 'scatter':
+        yield from _scatter(board, query, now)
+        return
+    names = list(query.shards)
+    shard = query.shards[names[int(board.rng.random() * len(names))]]
+    yield from _launch(board, query, shard, 'first')
+
+
+def _scatter(
+    board: blackboard.Blackboard, query: blackboard.Query, now: float
+) -> Messages:
+    query.phase = 'scatter'
+    for shard in tuple(query.shards.values()):
+        if shard.body is None and not shard.reason and not shard.live:
+            yield from _launch(board, query, shard, 'first')
+
+
+def _launch(
+    board: blackboard.Blackboard,
+    query: blackboard.Query,
+    shard: blackboard.ShardState,
+    kind: str,
+) -> Messages:
+    section = board.queries
+    holders = query.snapshot.shards[shard.name].replicas
+    servers = tuple(name for name in holders if name not in shard.tried)
+    if kind == 'first':
+        section.hedge_budget.earn()
+        section.retry_budget.earn()
+    attempt_id = section.next_attempt_id
+    section.next_attempt_id += 1
+    section.attempts[attempt_id] = blackboard.Attempt(
+        attempt_id, query.arrival.query_id, shard.name, kind
+    )
+    shard.live.append(attempt_id)
+    yield commands.AttemptWanted(
+        attempt_id,
+        query.arrival.query_id,
+        query.target.index_name,
+        shard.name,
+        query.snapshot.snapshot_id,
+        servers or holders,
+        query.alone,
+        kind,
+        query.deadline_at,
+        query.arrival.body,
+    )
+
+
+def _sent(
+    board: blackboard.Blackboard, message: commands.AttemptSent, now: float
+) -> Messages:
+    attempt = board.queries.attempts.get(message.attempt_id)
+    if attempt is None:
+        return
+    query = board.queries.queries[attempt.query_id]
+    attempt.state = 'sent'
+    attempt.server = message.server
+    attempt.sent_at = now
+    query.uncertain += 1
+    query.shards[attempt.shard].tried.add(message.server)
+    yield actions.Count('attempts.sent')
+    if attempt.kind != 'first':
+        yield actions.Count(f'attempts.{attempt.kind}')
+    if query.target.idempotent:
+        delay = replicas.hedge_delay(
+            board, query.target.index_name, attempt.shard
+        )
+        yield commands.StartTimer(
+            now + delay, events.TimerDue('hedge', attempt.attempt_id)
+        )
+
+
+def _hedge(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    section = board.queries
+    attempt = section.attempts.get(int(message.key))
+    if attempt is None:
+        return
+    query = section.queries[attempt.query_id]
+    shard = query.shards[attempt.shard]
+    if len(shard.live) > 1 or query.alone:
+        return
+    holders = query.snapshot.shards[shard.name].replicas
+    others = [
+        name
+        for name in holders
+        if name not in shard.tried
+        and name in board.connections.pools
+        and board.connections.pools[name].idle
+        and replicas.is_usable(board, name, now)
+    ]
+    if others and section.hedge_budget.spend():
+        yield from _launch(board, query, shard, 'hedge')
+        return
+    yield commands.StartTimer(
+        now + HEDGE_RECHECK_S, events.TimerDue('hedge', attempt.attempt_id)
+    )
+
+
+def _replied(
+    board: blackboard.Blackboard, message: commands.AttemptReplied, now: float
+) -> Messages:
+    found = _take_attempt(board, message.attempt_id)
+    if found is None:
+        return
+    query, shard, attempt = found
+    reply = message.reply
+    expected = (
+        query.arrival.query_id,
+        shard.name,
+        query.snapshot.snapshot_id,
+    )
+    if reply.refusal:
+        query.uncertain -= 1
+        query.congested = query.congested or reply.refusal == 'shed'
+        free = reply.refusal in FREE_REFUSALS
+        yield from _try_again(board, query, shard, reply.refusal, free, now)
+    elif (reply.query_id, reply.shard, reply.snapshot_id) != expected:
+        yield actions.Count('crossed_replies')
+        yield from _fail(board, query, shard, 'protocol', now)
+    elif reply.failed:
+        yield from _fail(board, query, shard, 'failed', now)
+    else:
+        yield from _cover(board, query, shard, attempt, reply.body, now)
+
+
+def _cover(
+    board: blackboard.Blackboard,
+    query: blackboard.Query,
+    shard: blackboard.ShardState,
+    attempt: blackboard.Attempt,
+    body: bytes,
+    now: float,
+) -> Messages:
+    if shard.body is not None:
+        return
+    shard.body = body
+    query.open_shards -= 1
+    for attempt_id in tuple(shard.live):
+        _take_attempt(board, attempt_id)
+        yield commands.AttemptDropped(attempt_id)
+    if query.arrival.stream:
+        query.released = True
+        yield actions.ReleaseShard(
+            query.arrival.query_id,
+            query.snapshot.snapshot_id,
+            shard.name,
+            body,
+        )
+    proved_alone = query.alone and attempt.kind == 'retry'
+    if query.phase == 'canary' or proved_alone:
+        query.alone = False
+        yield commands.FingerprintSafe(query.fingerprint)
+    if query.phase == 'canary':
+        yield from _scatter(board, query, now)
+    if not query.open_shards:
+        yield from _finish(board, query, '', now)
+
+
+def _lost(
+    board: blackboard.Blackboard, message: commands.AttemptLost, now: float
+) -> Messages:
+    found = _take_attempt(board, message.attempt_id)
+    if found is None:
+        return
+    query, shard, _ = found
+    if not message.written:
+        query.uncertain -= 1
+        yield from _try_again(board, query, shard, message.cause, True, now)
+        return
+    if message.cause not in CRASH_CAUSES:
+        yield from _fail(board, query, shard, message.cause, now)
+        return
+    yield commands.FingerprintLost(query.fingerprint, message.server)
+    query.alone = True
+    yield from _fail(board, query, shard, 'backend_server_lost', now)
+
+
+def _fail(
+    board: blackboard.Blackboard,
+    query: blackboard.Query,
+    shard: blackboard.ShardState,
+    reason: str,
+    now: float,
+) -> Messages:
+    """Handles an attempt that may have run and gave no result."""
+    if not query.target.idempotent:
+        yield from _finish(board, query, reason, now)
+        return
+    free = reason == 'silent'
+    yield from _try_again(board, query, shard, reason, free, now)
+
+
+def _try_again(
+    board: blackboard.Blackboard,
+    query: blackboard.Query,
+    shard: blackboard.ShardState,
+    reason: str,
+    free: bool,
+    now: float,
+) -> Messages:
+    if shard.live or shard.body is not None:
+        return
+    holders = query.snapshot.shards[shard.name].replicas
+    spent = len(shard.tried) >= len(holders)
+    if spent and reason in ('silent', 'shed', 'cold'):
+        shard.tried.clear()
+        spent = False
+    if reason == 'backend_server_lost':
+        yield commands.SuspectRetryWanted(query.arrival.query_id)
+        return
+    if not spent and (free or board.queries.retry_budget.spend()):
+        yield from _launch(board, query, shard, 'retry')
+        return
+    if reason == 'snapshot' and _may_restart(board, query, now):
+        yield from _restart(board, query, now)
+        return
+    yield from _give_up(board, query, shard, reason, now)
+
+
+def _retry_alone(
+    board: blackboard.Blackboard,
+    message: commands.SuspectRetryWanted,
+    now: float,
+) -> Messages:
+    """Gives a suspect its one more attempt, or stops it.
+
+    Runs after the loss was recorded, so that the count is the whole count.
+    """
+    query = board.queries.queries.get(message.query_id)
+    if query is None:
+        return
+    losses = quarantine.count_losses(board, query.fingerprint, now)
+    stopped = losses >= 2 or not board.queries.retry_budget.spend()
+    for shard in tuple(query.shards.values()):
+        if shard.live or shard.body is not None or shard.reason:
+            continue
+        if query.phase == 'canary' and not shard.tried:
+            continue
+        if stopped:
+            yield from _finish(board, query, 'backend_server_lost', now)
+            return
+        yield from _launch(board, query, shard, 'retry')
+
+
+def _may_restart(
+    board: blackboard.Blackboard, query: blackboard.Query, now: float
+) -> bool:
+    newer = choose_snapshot(
+        board, query.target.index_name, now, query.snapshot.snapshot_id
+    )
+    return (
+        newer is not None
+        and not query.released
+        and query.restarts < MAX_RESTARTS
+        and now < query.deadline_at
+        and board.queries.retry_budget.spend()
+    )
+
+
+def _restart(
+    board: blackboard.Blackboard, query: blackboard.Query, now: float
+) -> Messages:
+    newer = choose_snapshot(
+        board, query.target.index_name, now, query.snapshot.snapshot_id
+    )
+    assert newer is not None
+    yield actions.Count('restarts')
+    yield from _drop_live(board, query)
+    query.restarts += 1
+    _pin(board, query, newer, now)
+    yield from _launch_first(board, query, now)
+
+
+def _give_up(
+    board: blackboard.Blackboard,
+    query: blackboard.Query,
+    shard: blackboard.ShardState,
+    reason: str,
+    now: float,
+) -> Messages:
+    shard.reason = reason
+    query.open_shards -= 1
+    if query.phase == 'canary':
+        yield from _scatter(board, query, now)
+    if not query.open_shards:
+        yield from _finish(board, query, reason, now)
+
+
+def _rejected(
+    board: blackboard.Blackboard,
+    message: commands.AttemptRejected,
+    now: float,
+) -> Messages:
+    found = _take_attempt(board, message.attempt_id)
+    if found is None:
+        return
+    query, shard, _ = found
+    if not shard.live and shard.body is None:
+        yield from _give_up(board, query, shard, message.reason, now)
+
+
+def _soft_deadline(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    query = board.queries.queries.get(int(message.key))
+    if query is None or query.target.coverage_floor >= 1.0:
+        return
+    if _coverage(query) >= query.target.coverage_floor:
+        yield from _finish(board, query, 'timeout', now)
+
+
+def _deadline(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    query = board.queries.queries.get(int(message.key))
+    if query is not None:
+        query.congested = True
+        yield from _finish(board, query, 'timeout', now)
+
+
+def _withdraw(
+    board: blackboard.Blackboard, message: commands.QueryWithdrawn, now: float
+) -> Messages:
+    query = board.queries.queries.get(message.query_id)
+    if query is not None and query.target.idempotent:
+        yield from _finish(board, query, 'withdrawn', now)
+
+
+def _finish(
+    board: blackboard.Blackboard,
+    query: blackboard.Query,
+    reason: str,
+    now: float,
+) -> Messages:
+    yield from _drop_live(board, query)
+    del board.queries.queries[query.arrival.query_id]
+    answer = _build_answer(query, reason)
+    yield actions.AnswerCaller(answer)
+    yield commands.QueryFinished(
+        query.target.index_name,
+        query.target.name,
+        now - query.arrived_at,
+        now - query.started_at,
+        query.congested,
+        answer,
+    )
+
+
+def _drop_live(
+    board: blackboard.Blackboard, query: blackboard.Query
+) -> Messages:
+    for shard in query.shards.values():
+        for attempt_id in tuple(shard.live):
+            attempt = board.queries.attempts[attempt_id]
+            _take_attempt(board, attempt_id)
+            if query.target.idempotent or attempt.state == 'waiting':
+                yield commands.AttemptDropped(attempt_id)
+
+
+def _build_answer(query: blackboard.Query, reason: str) -> actions.Answer:
+    results = {
+        shard.name: shard.body
+        for shard in query.shards.values()
+        if shard.body is not None
+    }
+    lacking = tuple(
+        actions.LackingShard(shard.name, shard.reason or reason)
+        for shard in query.shards.values()
+        if shard.body is None
+    )
+    outcome = 'complete'
+    if lacking:
+        outcome = 'partial' if results else 'unknown'
+        if not results and not query.uncertain:
+            outcome = 'not run'
+    return actions.Answer(
+        query.arrival.query_id,
+        outcome,
+        reason if lacking else '',
+        query.snapshot.snapshot_id,
+        results,
+        lacking,
+        _coverage(query),
+        _retry_after(reason) if lacking else 0.0,
+    )
+
+
+def _retry_after(reason: str) -> float:
+    if reason == 'quarantined':
+        return quarantine.QUARANTINE_S
+    return replicas.COLD_S
+
+
+def _coverage(query: blackboard.Query) -> float:
+    shards = query.snapshot.shards
+    total = sum(shard.records for shard in shards.values())
+    held = sum(
+        shards[state.name].records
+        for state in query.shards.values()
+        if state.body is not None
+    )
+    return held / total
+
+
+def _take_attempt(
+    board: blackboard.Blackboard, attempt_id: int
+) -> tuple[blackboard.Query, blackboard.ShardState, blackboard.Attempt] | None:
+    attempt = board.queries.attempts.pop(attempt_id, None)
+    if attempt is None:
+        return None
+    query = board.queries.queries[attempt.query_id]
+    shard = query.shards[attempt.shard]
+    shard.live.remove(attempt_id)
+    return query, shard, attempt
+
+
+HANDLERS = {
+    commands.QueryAdmitted: _start,
+    commands.QueryWithdrawn: _withdraw,
+    commands.AttemptSent: _sent,
+    commands.AttemptReplied: _replied,
+    commands.AttemptLost: _lost,
+    commands.AttemptRejected: _rejected,
+    commands.SuspectRetryWanted: _retry_alone,
+    'hedge': _hedge,
+    'query_soft': _soft_deadline,
+    'query_deadline': _deadline,
+}
--- /dev/null
+++ b/packages/core/balsamshore_core/replicas.py
@@ -0,0 +1,283 @@
+"""What this node has seen of each backend server, and the choice by it.
+
+Own observations come first: a health endpoint that lags can only add a sign
+that a server is leaving, never take one away that a reply gave.
+"""
+
+import collections.abc
+import math
+import random
+from typing import Any
+
+from balsamshore_core import blackboard
+from balsamshore_core import commands
+from balsamshore_core import events
+from balsamshore_core import quantiles
+
+LATENCY_DECAY_S = 10.0
+LATENCY_SMOOTHING = 0.2
+UNSEEN_LATENCY_S = 0.005
+COLD_S = 2.0
+SHED_PAUSE_S = 0.05
+LEAVING_S = 30.0
+MIN_HEDGE_DELAY_S = 0.015
+UNSEEN_HEDGE_DELAY_S = 0.1
+HEDGE_QUANTILE = 0.98
+MIN_HEDGE_SAMPLES = 20
+
+Messages = collections.abc.Iterator[Any]
+
+
+def choose(
+    board: blackboard.Blackboard,
+    servers: collections.abc.Sequence[str],
+    now: float,
+) -> str | None:
+    """Picks a server by power of two choices, or None when none may run.
+
+    Args:
+        board: Read for observations; its generator picks the two.
+        servers: Names that have room for one more attempt of this node.
+        now: Monotonic seconds.
+    """
+    usable = [name for name in servers if is_usable(board, name, now)]
+    if not usable:
+        return None
+    if len(usable) == 1:
+        return usable[0]
+    first, second = _pick_two(usable, board.rng)
+    if cost(board, first, now) <= cost(board, second, now):
+        return first
+    return second
+
+
+def is_usable(board: blackboard.Blackboard, name: str, now: float) -> bool:
+    """Tells whether a server may be given new work now."""
+    replica = board.replicas.replicas.get(name)
+    if replica is None or replica.stalled or now < replica.leaving_until:
+        return False
+    return now >= replica.shed_until and not (
+        now < replica.cold_until and replica.in_flight > 0
+    )
+
+
+def is_holder(board: blackboard.Blackboard, name: str, now: float) -> bool:
+    """Tells whether a server is believed to hold and serve its shards."""
+    replica = board.replicas.replicas.get(name)
+    if replica is None or replica.stalled or now < replica.leaving_until:
+        return False
+    return replica.lost_at <= replica.last_reply_at or not replica.failures
+
+
+def cost(board: blackboard.Blackboard, name: str, now: float) -> float:
+    """Expected seconds until one more attempt would be answered."""
+    replica = board.replicas.replicas[name]
+    latency = UNSEEN_LATENCY_S
+    if replica.latency_s:
+        age = now - replica.latency_at
+        decayed = replica.latency_s * math.exp(-age / LATENCY_DECAY_S)
+        latency = max(latency, decayed)
+    return latency * (replica.in_flight + 1)
+
+
+def hedge_delay(board: blackboard.Blackboard, index: str, shard: str) -> float:
+    """Seconds after which an attempt on a shard counts as straggling."""
+    latencies = board.replicas.latencies.get((index, shard))
+    if latencies is None or latencies.count() < MIN_HEDGE_SAMPLES:
+        return UNSEEN_HEDGE_DELAY_S
+    return max(MIN_HEDGE_DELAY_S, latencies.quantile(HEDGE_QUANTILE))
+
+
+def list_leaving(
+    board: blackboard.Blackboard, now: float, limit: int
+) -> tuple[str, ...]:
+    """Servers that this node itself saw leaving, for peers."""
+    leaving = board.replicas.leaving
+    for name in [name for name, until in leaving.items() if until <= now]:
+        del leaving[name]
+    return tuple(list(leaving)[-limit:])
+
+
+def _pick_two(names: list[str], rng: random.Random) -> tuple[str, str]:
+    first = int(rng.random() * len(names))
+    second = int(rng.random() * (len(names) - 1))
+    if second >= first:
+        second += 1
+    return names[first], names[second]
+
+
+def _take_configuration(
+    board: blackboard.Blackboard,
+    message: commands.ConfigurationAccepted,
+    now: float,
+) -> Messages:
+    section = board.replicas
+    current = board.configuration.current
+    assert current is not None
+    for name, server in current.backend_servers.items():
+        known = section.replicas.get(name)
+        if known is None or known.server.address != server.address:
+            section.replicas[name] = blackboard.Replica(server)
+        else:
+            known.server = server
+    for name in set(section.replicas) - set(current.backend_servers):
+        del section.replicas[name]
+    alive = {
+        (index, shard)
+        for index, snapshots in current.indexes.items()
+        for snapshot in snapshots
+        for shard in snapshot.shards
+    }
+    for key in set(section.latencies) - alive:
+        del section.latencies[key]
+    yield from ()
+
+
+def _note_sent(
+    board: blackboard.Blackboard, message: commands.AttemptSent, now: float
+) -> Messages:
+    replica = board.replicas.replicas.get(message.server)
+    if replica is not None:
+        replica.in_flight += 1
+    yield from ()
+
+
+def _note_timed(
+    board: blackboard.Blackboard, message: commands.AttemptTimed, now: float
+) -> Messages:
+    key = (message.index_name, message.shard)
+    latencies = board.replicas.latencies.get(key)
+    if latencies is None:
+        latencies = board.replicas.latencies[key] = quantiles.Histogram()
+    latencies.add(message.elapsed_s)
+    replica = board.replicas.replicas.get(message.server)
+    if replica is None:
+        return
+    if message.elapsed_s > replica.latency_s:
+        replica.latency_s = message.elapsed_s
+    elif message.finished:
+        age = now - replica.latency_at
+        decayed = replica.latency_s * math.exp(-age / LATENCY_DECAY_S)
+        replica.latency_s = decayed + LATENCY_SMOOTHING * (
+            message.elapsed_s - decayed
+        )
+    replica.latency_at = now
+    yield from ()
+
+
+def _note_reply(
+    board: blackboard.Blackboard, message: commands.AttemptReplied, now: float
+) -> Messages:
+    replica = board.replicas.replicas.get(message.server)
+    if replica is None:
+        return
+    replica.in_flight = max(0, replica.in_flight - 1)
+    replica.last_reply_at = now
+    if replica.stalled:
+        yield commands.ServerReturned(message.server)
+    if message.reply.draining:
+        yield commands.ServerLeaving(message.server)
+    elif message.reply.refusal:
+        yield commands.ServerRefused(message.server, message.reply.refusal)
+    elif replica.failures:
+        replica.failures = 0
+        replica.cold_until = now + COLD_S
+
+
+def _note_lost_attempt(
+    board: blackboard.Blackboard, message: commands.AttemptLost, now: float
+) -> Messages:
+    replica = board.replicas.replicas.get(message.server)
+    if replica is not None:
+        replica.in_flight = max(0, replica.in_flight - 1)
+    yield from ()
+
+
+def _note_refused(
+    board: blackboard.Blackboard, message: commands.ServerRefused, now: float
+) -> Messages:
+    replica = board.replicas.replicas.get(message.server)
+    if replica is None:
+        return
+    if message.reason == 'cold':
+        replica.cold_until = now + COLD_S
+    if message.reason in ('cold', 'shed'):
+        replica.shed_until = now + SHED_PAUSE_S
+    yield from ()
+
+
+def _note_leaving(
+    board: blackboard.Blackboard, message: commands.ServerLeaving, now: float
+) -> Messages:
+    replica = board.replicas.replicas.get(message.server)
+    if replica is None:
+        return
+    news = now >= replica.leaving_until
+    replica.leaving_until = now + LEAVING_S
+    if not message.heard:
+        board.replicas.leaving[message.server] = replica.leaving_until
+        if news:
+            yield commands.PeerNoticeWanted()
+
+
+def _note_server_lost(
+    board: blackboard.Blackboard, message: commands.ServerLost, now: float
+) -> Messages:
+    replica = board.replicas.replicas.get(message.server)
+    if replica is not None:
+        replica.lost_at = now
+        replica.failures += 1
+        replica.latency_s = 0.0
+    yield from ()
+
+
+def _note_stalled(
+    board: blackboard.Blackboard, message: commands.ServerStalled, now: float
+) -> Messages:
+    replica = board.replicas.replicas.get(message.server)
+    if replica is not None:
+        replica.stalled = True
+    yield from ()
+
+
+def _note_returned(
+    board: blackboard.Blackboard, message: commands.ServerReturned, now: float
+) -> Messages:
+    replica = board.replicas.replicas.get(message.server)
+    if replica is None:
+        return
+    if replica.stalled or replica.failures:
+        replica.cold_until = now + COLD_S
+    if replica.failures and replica.lost_at > replica.last_reply_at:
+        replica.leaving_until = 0.0
+        board.replicas.leaving.pop(message.server, None)
+    replica.stalled = False
+    replica.failures = 0
+    replica.last_reply_at = now
+    yield from ()
+
+
+def _hear_leaving(
+    board: blackboard.Blackboard,
+    message: events.PeerMessageArrived,
+    now: float,
+) -> Messages:
+    for name in message.message.draining:
+        replica = board.replicas.replicas.get(name)
+        if replica is not None and now >= replica.leaving_until:
+            yield commands.ServerLeaving(name, heard=True)
+
+
+HANDLERS = {
+    commands.ConfigurationAccepted: _take_configuration,
+    commands.AttemptSent: _note_sent,
+    commands.AttemptTimed: _note_timed,
+    commands.AttemptReplied: _note_reply,
+    commands.AttemptLost: _note_lost_attempt,
+    commands.ServerRefused: _note_refused,
+    commands.ServerLeaving: _note_leaving,
+    commands.ServerLost: _note_server_lost,
+    commands.ServerStalled: _note_stalled,
+    commands.ServerReturned: _note_returned,
+    events.PeerMessageArrived: _hear_leaving,
+}
--- /dev/null
+++ b/packages/core/balsamshore_core/requestids.py
@@ -0,0 +1,198 @@
+"""Request ids: a non-idempotent request runs at most once.
+
+An id names the VM and the incarnation that issued it. Only that incarnation
+may start the request, so no two nodes ever can, whatever either believes of
+the fleet. Every other node passes the request on, and answers `unknown` when
+the issuer cannot be reached. Ids expire, so the table is bounded.
+"""
+
+import collections.abc
+import re
+from typing import Any
+from typing import NamedTuple
+
+from balsamshore_core import actions
+from balsamshore_core import blackboard
+from balsamshore_core import commands
+from balsamshore_core import events
+from balsamshore_core import queries
+
+REQUEST_ID_LIFETIME_S = 600.0
+MAX_ISSUED = 50_000
+ID_PATTERN = re.compile(r'^([A-Za-z0-9._-]{1,64})~([0-9a-f]+)~([0-9a-f]+)$')
+
+Messages = collections.abc.Iterator[Any]
+
+
+class RequestId(NamedTuple):
+    """The parts of an id."""
+
+    vm: str
+    incarnation: int
+    sequence: int
+
+
+def parse_id(text: str) -> RequestId | None:
+    """Reads an id, or returns None when no node can have issued it."""
+    match = ID_PATTERN.match(text)
+    if match is None:
+        return None
+    vm, incarnation, sequence = match.groups()
+    return RequestId(vm, int(incarnation, 16), int(sequence, 16))
+
+
+def format_id(parts: RequestId) -> str:
+    """Writes an id as callers see it."""
+    return f'{parts.vm}~{parts.incarnation:x}~{parts.sequence:x}'
+
+
+def _issue(
+    board: blackboard.Blackboard, message: events.RequestIdWanted, now: float
+) -> Messages:
+    section = board.request_ids
+    if len(section.issued) >= MAX_ISSUED:
+        yield actions.GiveRequestId(message.ticket, '', 0.0)
+        return
+    sequence = section.next_sequence
+    section.next_sequence += 1
+    section.issued[sequence] = blackboard.IssuedId(now + REQUEST_ID_LIFETIME_S)
+    yield commands.StartTimer(
+        now + REQUEST_ID_LIFETIME_S, events.TimerDue('id_expiry', sequence)
+    )
+    identity = board.identity
+    text = format_id(RequestId(identity.name, identity.incarnation, sequence))
+    yield actions.GiveRequestId(message.ticket, text, REQUEST_ID_LIFETIME_S)
+
+
+def _expire(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    section = board.request_ids
+    issued = section.issued.get(int(message.key))
+    if issued is None:
+        return
+    if issued.state == 'running':
+        yield commands.StartTimer(now + 1.0, message)
+        return
+    del section.issued[int(message.key)]
+
+
+def _arrive(
+    board: blackboard.Blackboard, message: events.QueryArrived, now: float
+) -> Messages:
+    current = board.configuration.current
+    target = current.classes.get(message.class_name) if current else None
+    if target is None or target.idempotent:
+        yield commands.QueryCleared(message)
+        return
+    parts = parse_id(message.request_id)
+    if parts is None:
+        yield refuse(message.query_id, 'request_id_required')
+        return
+    identity = board.identity
+    if (parts.vm, parts.incarnation) != (identity.name, identity.incarnation):
+        yield _pass_on(board, message, parts)
+        return
+    yield from _arrive_at_issuer(board, message, parts.sequence)
+
+
+def _pass_on(
+    board: blackboard.Blackboard,
+    message: events.QueryArrived,
+    parts: RequestId,
+) -> actions.Action:
+    member = board.members.members.get(parts.vm)
+    if (
+        member is None
+        or member.update.incarnation != parts.incarnation
+        or message.forwarded
+    ):
+        return _answer(message.query_id, 'unknown', 'issuer_gone')
+    current = board.configuration.current
+    assert current is not None
+    target = current.classes[message.class_name]
+    return actions.ForwardQuery(
+        message.query_id,
+        member.update.peer_address,
+        message.class_name,
+        message.request_id,
+        message.deadline_s or target.deadline_s,
+        message.body,
+    )
+
+
+def _arrive_at_issuer(
+    board: blackboard.Blackboard,
+    message: events.QueryArrived,
+    sequence: int,
+) -> Messages:
+    section = board.request_ids
+    issued = section.issued.get(sequence)
+    if issued is None:
+        if sequence >= section.next_sequence:
+            yield refuse(message.query_id, 'request_id_required')
+        else:
+            yield _answer(message.query_id, 'unknown', 'request_id_expired')
+        return
+    fingerprint = queries.compute_fingerprint(message.class_name, message.body)
+    if issued.fingerprint not in ('', fingerprint):
+        yield refuse(message.query_id, 'request_id_reused')
+        return
+    if issued.state == 'done':
+        assert issued.answer is not None
+        yield actions.AnswerCaller(
+            issued.answer._replace(query_id=message.query_id)
+        )
+        return
+    if issued.state == 'running':
+        issued.waiting.append(message.query_id)
+        return
+    issued.state = 'running'
+    issued.fingerprint = fingerprint
+    issued.query_id = message.query_id
+    section.by_query[message.query_id] = sequence
+    yield commands.QueryCleared(message)
+
+
+def _keep_answer(
+    board: blackboard.Blackboard, message: actions.AnswerCaller, now: float
+) -> Messages:
+    section = board.request_ids
+    sequence = section.by_query.pop(message.answer.query_id, None)
+    issued = section.issued.get(sequence) if sequence is not None else None
+    if issued is None:
+        return
+    if message.answer.outcome == 'not run':
+        issued.state = 'unused'
+        issued.fingerprint = ''
+    else:
+        issued.state = 'done'
+        issued.answer = message.answer
+    waiting, issued.waiting = issued.waiting, []
+    for query_id in waiting:
+        yield actions.AnswerCaller(message.answer._replace(query_id=query_id))
+
+
+def refuse(
+    query_id: int, reason: str, retry_after_s: float = 0.0
+) -> actions.AnswerCaller:
+    """Makes the answer to a request that did not run and will not."""
+    return _answer(query_id, 'not run', reason, retry_after_s)
+
+
+def _answer(
+    query_id: int, outcome: str, reason: str, retry_after_s: float = 0.0
+) -> actions.AnswerCaller:
+    return actions.AnswerCaller(
+        actions.Answer(
+            query_id, outcome, reason, -1, {}, (), 0.0, retry_after_s
+        )
+    )
+
+
+HANDLERS = {
+    events.RequestIdWanted: _issue,
+    events.QueryArrived: _arrive,
+    actions.AnswerCaller: _keep_answer,
+    'id_expiry': _expire,
+}
--- /dev/null
+++ b/packages/node/balsamshore_node/__init__.py
@@ -0,0 +1,1 @@
+"""The balsamshore node: sockets, HTTP and telemetry around the decisions."""
--- /dev/null
+++ b/packages/node/balsamshore_node/backends.py
@@ -0,0 +1,237 @@
+"""Connections to backend servers, as the decisions ask for them.
+
+Each connection has a task that reads replies and a task that writes. Jobs
+on one connection are written in order, one at a time.
+"""
+
+import collections
+import json
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import loguru
+import opentelemetry.trace as otel_trace
+from balsamshore_core import actions
+from balsamshore_core import connections as connection_rules
+from balsamshore_core import events
+
+from balsamshore_node import errors
+from balsamshore_node import telemetry
+from balsamshore_node import transport
+
+SEARCH_TARGET = '/v1/search'
+CANCEL_TARGET = '/v1/cancel'
+HEALTH_TARGET = '/v1/health'
+REFUSED_STATUS = 503
+MAX_JOBS = 16
+
+Job = actions.SendAttempt | actions.SendCancel | actions.SendHealthCheck
+
+
+class _Slot:
+    """One connection and the jobs that wait for it."""
+
+    def __init__(self):
+        self.jobs: collections.deque[Job] = collections.deque()
+        self.wake = anyio.Event()
+        self.scope = anyio.CancelScope()
+        self.current: Job | None = None
+        self.span: otel_trace.Span | None = None
+        self.written = False
+
+
+class Backends:
+    """Carries out the connection actions of the decisions.
+
+    Args:
+        tasks: Where the connections' tasks run.
+        dispatch: Feeds an event to the decisions.
+        spans: Makes a span for each attempt of a traced query.
+        find_span: Returns the span of a query, or None when not traced.
+        prefix: Makes attempt and query ids unique among all processes.
+    """
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        dispatch: Callable[[Any], None],
+        spans: telemetry.Spans,
+        find_span: Callable[[int], otel_trace.Span | None],
+        prefix: str,
+    ):
+        self._tasks = tasks
+        self._dispatch = dispatch
+        self._spans = spans
+        self._find_span = find_span
+        self._prefix = prefix.encode() + b'~'
+        self._slots: dict[int, _Slot] = {}
+
+    def open(self, action: actions.OpenConnection) -> None:
+        """Opens a connection; its end is told by `ConnectionLost`."""
+        slot = _Slot()
+        self._slots[action.connection_id] = slot
+        self._tasks.start_soon(self._run, action, slot)
+
+    def close(self, action: actions.CloseConnection) -> None:
+        """Closes a connection; nothing more is told of it."""
+        slot = self._slots.pop(action.connection_id, None)
+        if slot is not None:
+            slot.scope.cancel()
+
+    def submit(self, job: Job) -> None:
+        """Queues a job on its connection."""
+        slot = self._slots.get(job.connection_id)
+        if slot is None:
+            return
+        if len(slot.jobs) >= MAX_JOBS and isinstance(job, actions.SendCancel):
+            return
+        slot.jobs.append(job)
+        slot.wake.set()
+
+    async def _run(self, action: actions.OpenConnection, slot: _Slot) -> None:
+        connection_id = action.connection_id
+        cause = 'closed'
+        connection = None
+        with slot.scope:
+            try:
+                connection = await transport.open_connection(
+                    action.address, connection_rules.CONNECT_TIMEOUT_S
+                )
+                self._dispatch(events.ConnectionOpened(connection_id))
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write, slot, connection, tasks)
+                    cause = await self._read(connection_id, slot, connection)
+                    tasks.cancel_scope.cancel()
+            except errors.BackendError as error:
+                cause = error.cause
+            except Exception:
+                loguru.logger.exception('connection {} failed', connection_id)
+                cause = 'protocol'
+        if connection is not None:
+            with anyio.CancelScope(shield=True):
+                await connection.close()
+        self._end_span(slot, cause)
+        if self._slots.pop(connection_id, None) is not None:
+            self._dispatch(
+                events.ConnectionLost(connection_id, slot.written, cause)
+            )
+
+    async def _write(
+        self,
+        slot: _Slot,
+        connection: transport.Connection,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        while True:
+            while slot.current is not None or not slot.jobs:
+                slot.wake = anyio.Event()
+                await slot.wake.wait()
+            job = slot.jobs.popleft()
+            slot.current = job
+            slot.written = isinstance(job, actions.SendAttempt)
+            try:
+                await connection.send(*self._describe(slot, job))
+            except errors.BackendError:
+                return
+
+    def _describe(
+        self, slot: _Slot, job: Job
+    ) -> tuple[str, list[tuple[bytes, bytes]], bytes]:
+        if isinstance(job, actions.SendHealthCheck):
+            return HEALTH_TARGET, [], b''
+        attempt = (b'x-attempt', self._prefix + str(job.attempt_id).encode())
+        if isinstance(job, actions.SendCancel):
+            return CANCEL_TARGET, [attempt], b''
+        headers = [
+            attempt,
+            (b'x-query', self._prefix + str(job.query_id).encode()),
+            (b'x-index', job.index_name.encode()),
+            (b'x-shard', job.shard.encode()),
+            (b'x-snapshot', str(job.snapshot_id).encode()),
+            (b'x-deadline-ms', str(int(job.deadline_s * 1000)).encode()),
+        ]
+        parent = self._find_span(job.query_id)
+        if parent is not None:
+            slot.span = self._spans.start(
+                'backend.search',
+                parent=parent,
+                shard=job.shard,
+                backend_server=job.server,
+                kind=job.kind,
+            )
+            traceparent = telemetry.format_traceparent(slot.span)
+            headers.append((b'traceparent', traceparent.encode()))
+        return SEARCH_TARGET, headers, job.body
+
+    async def _read(
+        self, connection_id: int, slot: _Slot, connection: transport.Connection
+    ) -> str:
+        while True:
+            try:
+                reply = await connection.receive()
+            except errors.BackendError as error:
+                return error.cause
+            job, slot.current = slot.current, None
+            slot.written = False
+            self._end_span(slot, str(reply.status))
+            if job is None:
+                return 'protocol'
+            event = _read_reply(connection_id, job, reply, self._prefix)
+            if event is not None:
+                self._dispatch(event)
+            if reply.closing:
+                return 'closed'
+            slot.wake.set()
+
+    def _end_span(self, slot: _Slot, result: str) -> None:
+        if slot.span is not None:
+            slot.span.set_attribute('result', result)
+            slot.span.end()
+            slot.span = None
+
+
+def _read_reply(
+    connection_id: int, job: Job, reply: transport.Reply, prefix: bytes
+) -> events.ReplyArrived | events.HealthArrived | None:
+    draining = reply.headers.get(b'x-draining') == b'1'
+    if isinstance(job, actions.SendCancel):
+        return None
+    if isinstance(job, actions.SendHealthCheck):
+        return events.HealthArrived(connection_id, draining)
+    headers = reply.headers
+    refusal = ''
+    if reply.status == REFUSED_STATUS:
+        refusal = headers.get(b'x-not-run', b'').decode('latin-1')
+    return events.ReplyArrived(
+        connection_id,
+        _read_id(headers.get(b'x-attempt', b''), prefix),
+        _read_id(headers.get(b'x-query', b''), prefix),
+        headers.get(b'x-shard', b'').decode('latin-1'),
+        _read_snapshot(headers.get(b'x-snapshot', b'')),
+        refusal,
+        reply.status != 200 or not _is_json(reply.body),
+        draining,
+        reply.body,
+    )
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        json.loads(body)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
+def _read_id(text: bytes, prefix: bytes) -> int:
+    """Reads an id of ours, or 0 when another process made it."""
+    number = text.removeprefix(prefix)
+    if not text.startswith(prefix) or not number.isdigit():
+        return 0
+    return int(number)
+
+
+def _read_snapshot(text: bytes) -> int:
+    return int(text) if text.isdigit() else -1
--- /dev/null
+++ b/packages/node/balsamshore_node/peers.py
@@ -0,0 +1,254 @@
+"""Sockets between nodes: datagrams for news, streams for bulk.
+
+A datagram is one sealed `PeerMessage`. A stream carries one request and one
+answer, each a sealed `Frame` behind its length (4 bytes, big-endian). What
+bears no valid code, or not the agreed shape, is counted and dropped.
+"""
+
+import collections
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import loguru
+from balsamshore_core import actions
+from balsamshore_core import events
+from balsamshore_wire import codec
+from balsamshore_wire import errors as wire_errors
+from balsamshore_wire import keys
+
+from balsamshore_node import errors
+from balsamshore_node import runtime as node_runtime
+from balsamshore_node import telemetry
+
+CONNECT_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 5.0
+FORWARD_GRACE_S = 0.25
+MAX_STREAMS = 256
+MAX_OUTBOX = 1_024
+LENGTH = struct.Struct('>I')
+
+
+class Peers:
+    """The node's UDP and TCP sockets towards its peers."""
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        runtime: node_runtime.Runtime,
+        ring: keys.KeyRing,
+        address: str,
+    ):
+        self._tasks = tasks
+        self._runtime = runtime
+        self._ring = ring
+        host, port = address.rsplit(':', 1)
+        self._host, self._port = host, int(port)
+        self._udp: anyio.abc.UDPSocket | None = None
+        self._streams = 0
+        self._outbox: collections.deque[tuple[bytes, str]] = collections.deque(
+            maxlen=MAX_OUTBOX
+        )
+        self._outbox_filled = anyio.Event()
+
+    async def open(self) -> None:
+        """Binds both sockets and serves them.
+
+        Raises:
+            OSError: The address is taken or not of this machine.
+        """
+        self._udp = await anyio.create_udp_socket(
+            local_host=self._host, local_port=self._port
+        )
+        listener = await anyio.create_tcp_listener(
+            local_host=self._host, local_port=self._port
+        )
+        self._tasks.start_soon(self._receive)
+        self._tasks.start_soon(self._send)
+        self._tasks.start_soon(listener.serve, self._serve_stream)
+
+    def send(self, action: actions.SendPeerMessage) -> None:
+        """Sends a datagram; a lost one is the decisions' matter."""
+        payload = keys.seal(self._ring, codec.encode_message(action.message))
+        self._runtime.metrics.count('peers.sent_bytes', len(payload))
+        self._outbox.append((payload, action.address))
+        self._outbox_filled.set()
+
+    def fetch_configuration(self, action: actions.FetchConfiguration) -> None:
+        """Asks a peer for the document that it has in force."""
+        self._tasks.start_soon(self._fetch, action.peer_address)
+
+    def forward(self, action: actions.ForwardQuery) -> None:
+        """Passes a query on to the node that issued its request id."""
+        self._tasks.start_soon(self._forward, action)
+
+    async def _send(self) -> None:
+        assert self._udp is not None
+        while True:
+            while not self._outbox:
+                self._outbox_filled = anyio.Event()
+                await self._outbox_filled.wait()
+            payload, address = self._outbox.popleft()
+            host, port = address.rsplit(':', 1)
+            try:
+                await self._udp.sendto(payload, host, int(port))
+            except (OSError, anyio.BrokenResourceError) as error:
+                loguru.logger.debug('datagram to {}: {!r}', address, error)
+
+    async def _receive(self) -> None:
+        assert self._udp is not None
+        while True:
+            try:
+                payload, (host, port) = await self._udp.receive()
+            except anyio.BrokenResourceError:
+                continue
+            self._runtime.metrics.count('peers.received_bytes', len(payload))
+            try:
+                opened = keys.unseal(self._ring, payload)
+            except wire_errors.AuthenticationError:
+                self._runtime.metrics.count('peers.forged')
+                continue
+            result = codec.decode_message(opened)
+            if result.is_error():
+                self._runtime.metrics.count('peers.malformed')
+                continue
+            self._runtime.dispatch(
+                events.PeerMessageArrived(f'{host}:{port}', result.ok)
+            )
+
+    async def _serve_stream(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            if self._streams >= MAX_STREAMS:
+                self._runtime.metrics.count('peers.refused_streams')
+                return
+            self._streams += 1
+            try:
+                with anyio.fail_after(READ_TIMEOUT_S):
+                    frame = await self._read_frame(stream)
+                answer = await FRAME_HANDLERS[type(frame)](self, frame)
+                await self._write_frame(stream, answer)
+            except (errors.PeerError, OSError, KeyError, TimeoutError):
+                self._runtime.metrics.count('peers.bad_streams')
+            except (anyio.BrokenResourceError, anyio.EndOfStream):
+                self._runtime.metrics.count('peers.cut_streams')
+            finally:
+                self._streams -= 1
+
+    async def _answer_fetch(
+        self, frame: codec.ConfigurationWanted
+    ) -> codec.Frame:
+        current = self._runtime.board.configuration.current
+        return codec.ConfigurationDocument(
+            current.document if current is not None else b''
+        )
+
+    async def _answer_forward(self, frame: codec.Forward) -> codec.Frame:
+        query_id, pending = self._runtime.begin_query(
+            events.QueryArrived(
+                0,
+                frame.class_name,
+                frame.body,
+                frame.deadline_s,
+                frame.request_id,
+                forwarded=True,
+            ),
+            frame.traceparent,
+        )
+        try:
+            while pending.answer is None:
+                await pending.changed.wait()
+            return codec.ForwardAnswer(pending.answer)
+        finally:
+            self._runtime.end_query(query_id)
+
+    async def _fetch(self, peer_address: str) -> None:
+        try:
+            with anyio.fail_after(FETCH_TIMEOUT_S):
+                frame = await self._ask(
+                    peer_address, codec.ConfigurationWanted()
+                )
+        except (errors.PeerError, TimeoutError) as error:
+            loguru.logger.debug('no document from {}: {}', peer_address, error)
+            return
+        if isinstance(frame, codec.ConfigurationDocument) and frame.document:
+            self._runtime.dispatch(
+                events.ConfigurationRead(frame.document, 'peer')
+            )
+
+    async def _forward(self, action: actions.ForwardQuery) -> None:
+        span = self._runtime.find_span(action.query_id)
+        traceparent = ''
+        if span is not None:
+            traceparent = telemetry.format_traceparent(span)
+        frame = codec.Forward(
+            action.class_name,
+            action.request_id,
+            action.deadline_s,
+            action.body,
+            traceparent,
+        )
+        answer = actions.Answer(
+            action.query_id, 'unknown', 'issuer_unreachable', -1, {}, (), 0, 0
+        )
+        try:
+            with anyio.fail_after(action.deadline_s + FORWARD_GRACE_S):
+                reply = await self._ask(action.peer_address, frame)
+            if isinstance(reply, codec.ForwardAnswer):
+                answer = reply.answer._replace(query_id=action.query_id)
+        except (errors.PeerError, TimeoutError) as error:
+            loguru.logger.info(
+                'issuer {} not reached: {!r}', action.peer_address, error
+            )
+        self._runtime.metrics.count('peers.forwards')
+        self._runtime.finish(answer)
+
+    async def _ask(self, peer_address: str, frame: codec.Frame) -> codec.Frame:
+        host, port = peer_address.rsplit(':', 1)
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await anyio.connect_tcp(
+                    host, int(port), local_host=self._host
+                )
+            async with stream:
+                await self._write_frame(stream, frame)
+                return await self._read_frame(stream)
+        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream) as error:
+            raise errors.PeerError(f'{peer_address}: {error!r}') from error
+
+    async def _write_frame(
+        self, stream: anyio.abc.SocketStream, frame: codec.Frame
+    ) -> None:
+        payload = keys.seal(self._ring, codec.encode_frame(frame))
+        await stream.send(LENGTH.pack(len(payload)) + payload)
+
+    async def _read_frame(self, stream: anyio.abc.SocketStream) -> codec.Frame:
+        (length,) = LENGTH.unpack(await _read_exactly(stream, LENGTH.size))
+        if not keys.CODE_BYTES <= length <= codec.MAX_FRAME_BYTES:
+            raise errors.PeerError(f'frame of {length} bytes')
+        sealed = await _read_exactly(stream, length)
+        try:
+            payload = keys.unseal(self._ring, sealed)
+        except wire_errors.AuthenticationError as error:
+            self._runtime.metrics.count('peers.forged')
+            raise errors.PeerError(str(error)) from error
+        result = codec.decode_frame(payload)
+        if result.is_error():
+            self._runtime.metrics.count('peers.malformed')
+            raise errors.PeerError(str(result.error))
+        return result.ok
+
+
+async def _read_exactly(stream: anyio.abc.SocketStream, size: int) -> bytes:
+    buffer = bytearray()
+    while len(buffer) < size:
+        buffer += await stream.receive(size - len(buffer))
+    return bytes(buffer)
+
+
+FRAME_HANDLERS: dict[type, Callable[[Peers, Any], Any]] = {
+    codec.ConfigurationWanted: Peers._answer_fetch,
+    codec.Forward: Peers._answer_forward,
+}
--- /dev/null
+++ b/packages/standins/balsamshore_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of what surrounds the system; for development only."""
--- /dev/null
+++ b/packages/standins/balsamshore_standins/records.py
@@ -0,0 +1,49 @@
+"""Generated contents of the indexes, the same for every run of a seed."""
+
+import hashlib
+import json
+from typing import TypedDict
+
+MAX_RECORDS = 3
+
+
+class Record(TypedDict):
+    """One service line record or job board row."""
+
+    id: str
+    index: str
+    snapshot: int
+    shard: str
+    key: str
+    material: str
+
+
+MATERIALS = ('lead', 'copper', 'plastic', 'galvanised')
+
+
+def find_records(
+    seed: int, index: str, snapshot: int, shard: str, key: str
+) -> list[Record]:
+    """Returns what one shard of one snapshot holds for a key.
+
+    A third of the shards hold nothing for a given key: an empty result
+    still covers its shard.
+    """
+    text = f'{seed}|{index}|{snapshot}|{shard}|{key}'
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return [
+        {
+            'id': f'{digest.hex()}-{number}',
+            'index': index,
+            'snapshot': snapshot,
+            'shard': shard,
+            'key': key,
+            'material': MATERIALS[digest[number] % len(MATERIALS)],
+        }
+        for number in range(digest[0] % MAX_RECORDS)
+    ]
+
+
+def encode_records(found: list[Record]) -> bytes:
+    """Writes the reply body of one shard."""
+    return json.dumps(found, separators=(',', ':')).encode()
--- /dev/null
+++ b/packages/standins/balsamshore_standins/truth.py
@@ -0,0 +1,133 @@
+"""Checks what callers were told against the stand-ins' ledgers."""
+
+import collections
+from typing import Any
+from typing import NamedTuple
+
+from balsamshore_standins import backend
+from balsamshore_standins import load
+from balsamshore_standins import plans
+from balsamshore_standins import records
+
+STARTED = frozenset(('ran', 'crashed', 'cancelled'))
+EFFECTIVE = frozenset(('ran', 'crashed'))
+
+
+class Violation(NamedTuple):
+    """One promise that was broken."""
+
+    promise: str
+    detail: str
+
+
+class Truth(NamedTuple):
+    """The verdict on one run.
+
+    Attributes:
+        violations: Broken promises; empty when all held.
+        sub_requests: Lines in the ledgers for the run's keys.
+        needed: Sub-requests that one per shard would have made.
+        peak_connections: Most connections that one server had.
+    """
+
+    violations: list[Violation]
+    sub_requests: int
+    needed: int
+    peak_connections: int
+
+    @property
+    def extra_ratio(self) -> float:
+        """Extra sub-requests as a share of those needed."""
+        return max(0, self.sub_requests - self.needed) / max(1, self.needed)
+
+
+def check(
+    deployment: plans.Deployment,
+    answered: list[load.Answered],
+    ledger: list[list[Any]],
+    stats: list[dict[str, Any]],
+) -> Truth:
+    """Judges a run by the ledgers, never by the system's own metrics."""
+    by_key: dict[str, list[backend.Execution]] = collections.defaultdict(list)
+    for line in ledger:
+        execution = backend.Execution(*line)
+        by_key[execution.key].append(execution)
+    classes = {plan.name: plan for plan in deployment.classes}
+    shards = {plan.name: plan.shards for plan in deployment.indexes}
+    violations: list[Violation] = []
+    sub_requests = needed = 0
+    for entry in answered:
+        plan = classes[entry.class_name]
+        executions = by_key[entry.key]
+        violations += _check_runs(entry, plan, executions)
+        violations += _check_answer(deployment, entry, plan)
+        sub_requests += len(executions)
+        if executions:
+            needed += shards[plan.index_name]
+    violations += _check_connections(stats)
+    peak = max((server['peak_connections'] for server in stats), default=0)
+    return Truth(violations, sub_requests, needed, peak)
+
+
+def _check_runs(
+    entry: load.Answered,
+    plan: plans.ClassPlan,
+    executions: list[backend.Execution],
+) -> list[Violation]:
+    found = []
+    started = [line for line in executions if line.result in STARTED]
+    effective = [line for line in executions if line.result in EFFECTIVE]
+    if entry.outcome == 'not run' and started:
+        found.append(Violation('not run', f'{entry.key} ran: {started[0]}'))
+    if not plan.idempotent and len(effective) > 1:
+        found.append(Violation('at most once', f'{entry.key}: {effective}'))
+    if not plan.idempotent and entry.outcome == 'complete' and not effective:
+        found.append(Violation('coverage', f'{entry.key} never ran'))
+    return found
+
+
+def _check_answer(
+    deployment: plans.Deployment, entry: load.Answered, plan: plans.ClassPlan
+) -> list[Violation]:
+    if entry.outcome not in ('complete', 'partial'):
+        return []
+    answer = entry.answer
+    coverage = answer['coverage']
+    covered = set(coverage['covered'])
+    lacking = {part['shard'] for part in coverage['lacking']}
+    shards = next(
+        index.shards
+        for index in deployment.indexes
+        if index.name == plan.index_name
+    )
+    everything = {f's{number}' for number in range(shards)}
+    found = []
+    if covered | lacking != everything or covered & lacking:
+        found.append(Violation('coverage', f'{entry.key}: {coverage}'))
+    if set(answer['results']) != covered:
+        found.append(Violation('coverage', f'{entry.key}: results differ'))
+    if abs(coverage['ratio'] - len(covered) / shards) > 1e-6:
+        found.append(Violation('coverage', f'{entry.key}: {coverage}'))
+    if (entry.outcome == 'complete') != (not lacking):
+        found.append(Violation('outcome', f'{entry.key}: {entry.outcome}'))
+    for shard, result in answer['results'].items():
+        wanted = records.find_records(
+            deployment.seed,
+            plan.index_name,
+            answer['snapshot'],
+            shard,
+            entry.key,
+        )
+        if result != wanted:
+            found.append(
+                Violation('whole answer', f'{entry.key} {shard}: {result}')
+            )
+    return found
+
+
+def _check_connections(stats: list[dict[str, Any]]) -> list[Violation]:
+    return [
+        Violation('connections', str(server))
+        for server in stats
+        if server['over_limit'] or server['peak_connections'] > server['limit']
+    ]
--- /dev/null
+++ b/packages/wire/balsamshore_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between balsamshore nodes: schema, codec, authentication."""
--- /dev/null
+++ b/packages/wire/balsamshore_wire/keys.py
@@ -0,0 +1,45 @@
+"""Message authentication between nodes.
+
+A message is followed by the first CODE_BYTES of its HMAC-SHA256. The first
+key signs and every key is accepted, so keys are rotated in three rollouts:
+add the new key last, then put it first, then drop the old one.
+"""
+
+import hashlib
+import hmac
+from typing import NamedTuple
+
+from balsamshore_wire import errors
+
+CODE_BYTES = 16
+MIN_KEY_BYTES = 16
+
+
+class KeyRing(NamedTuple):
+    """Keys in force, the signing key first."""
+
+    keys: tuple[bytes, ...]
+
+
+def seal(ring: KeyRing, payload: bytes) -> bytes:
+    """Appends the code of the signing key."""
+    return payload + _compute_code(ring.keys[0], payload)
+
+
+def unseal(ring: KeyRing, sealed: bytes) -> bytes:
+    """Checks and strips the code.
+
+    Raises:
+        errors.AuthenticationError: No accepted key made this code.
+    """
+    payload, code = sealed[:-CODE_BYTES], sealed[-CODE_BYTES:]
+    for key in ring.keys:
+        if hmac.compare_digest(_compute_code(key, payload), code):
+            return payload
+    raise errors.AuthenticationError(
+        f'{len(sealed)} bytes bear no code of an accepted key'
+    )
+
+
+def _compute_code(key: bytes, payload: bytes) -> bytes:
+    return hmac.digest(key, payload, hashlib.sha256)[:CODE_BYTES]
