Measure beside the plain baseline in eleven scenarios

Cause: no figure told whether the decisions help. Change: 'balsamshore bench' runs real processes, open-loop load and the plain baseline on the same seeds; truth comes from the stand-ins' ledgers; table, JSON and an HTML report with plots.

--- /dev/null
+++ b/packages/cli/balsamshore_cli/bench.py
@@ -0,0 +1,262 @@
+"""The benchmark: the system beside the plain baseline, on the same seeds."""
+
+import json
+import pathlib
+from typing import Any
+from typing import TypedDict
+
+import anyio
+from balsamshore_node import environment
+from balsamshore_standins import fleet
+from balsamshore_standins import load
+from balsamshore_standins import plans
+from balsamshore_standins import truth
+
+from balsamshore_cli import errors
+from balsamshore_cli import output
+from balsamshore_cli import report
+from balsamshore_cli import scenarios
+from balsamshore_cli import status
+from balsamshore_cli import summaries
+
+BASE_RATE = 60.0
+DURATION_S = 12.0
+QUICK_DURATION_S = 4.0
+POISON_EVERY = 40
+POISON_REPEATS = 3
+COLUMNS = (
+    'site',
+    'scenario',
+    'system',
+    'p50 ms',
+    'p99 ms',
+    'p99.9 ms',
+    'coverage',
+    'service',
+    'goodput/s',
+    'extra',
+    'peak conns',
+    'outcomes',
+    'broken',
+)
+
+
+class Result(TypedDict):
+    """One scenario of one system."""
+
+    site: str
+    scenario: str
+    system: str
+    seed: int
+    rate: float
+    overall: summaries.Summary
+    classes: dict[str, summaries.Summary]
+    answered_coverage: float
+    service: float
+    goodput: float
+    extra_ratio: float
+    peak_connections: int
+    violations: list[str]
+    latencies_ms: list[float]
+
+
+def run_bench(
+    env: environment.Environment,
+    quick: bool,
+    names: str,
+    sites: str,
+    seed: int,
+    out: str,
+) -> status.ExitStatus:
+    """Runs scenarios and writes a table, JSON and an HTML report.
+
+    Args:
+        env: Surroundings.
+        quick: Whether to take the short form.
+        names: Scenarios, separated by commas, or '' for all.
+        sites: Deployments, separated by commas, or '' for all.
+        seed: Seed of contents, load and faults.
+        out: Folder of the JSON and the report.
+    """
+    chosen = _choose_scenarios(names, quick)
+    default_sites = 'authority' if quick else ','.join(plans.USERS)
+    duration_s = QUICK_DURATION_S if quick else DURATION_S
+    results: list[Result] = []
+    for site in (sites or default_sites).split(','):
+        if site not in plans.USERS:
+            raise errors.CommandError(
+                f'no site {site!r}; known: {", ".join(plans.USERS)}'
+            )
+        for scenario in chosen:
+            for kind in (fleet.NODE, fleet.BASELINE):
+                result = run_scenario(site, scenario, kind, seed, duration_s)
+                results.append(result)
+                env.stderr.write(f'{site} {scenario.name} {kind}: done\n')
+    rows = [_list_cells(result) for result in results]
+    output.write_rows(env, 'benchmark', COLUMNS, rows)
+    folder = pathlib.Path(out)
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / 'results.json'
+    path.write_text(json.dumps(results, indent=1), encoding='utf-8')
+    report.write_report(folder / 'report.html', COLUMNS, rows, results)
+    env.stderr.write(f'written: {path}, {folder / "report.html"}\n')
+    broken = any(
+        result['violations']
+        for result in results
+        if result['system'] == fleet.NODE
+    )
+    if broken:
+        return status.ExitStatus.CHECK_FAILED
+    return status.ExitStatus.SUCCESS
+
+
+def _choose_scenarios(names: str, quick: bool) -> list[scenarios.Scenario]:
+    known = {scenario.name: scenario for scenario in scenarios.SCENARIOS}
+    wanted = names.split(',') if names else list(known)
+    if quick and not names:
+        wanted = list(scenarios.QUICK)
+    for name in wanted:
+        if name not in known:
+            raise errors.CommandError(
+                f'no scenario {name!r}; known: {", ".join(known)}'
+            )
+    return [known[name] for name in wanted]
+
+
+def run_scenario(
+    site_name: str,
+    scenario: scenarios.Scenario,
+    kind: str,
+    seed: int,
+    duration_s: float,
+) -> Result:
+    """Runs one scenario on one system and judges it by the ledgers."""
+    deployment = plans.plan_deployment(site_name, fleet.choose_host(), seed)
+    rate = BASE_RATE
+    if scenario.saturated:
+        rate = plans.compute_capacity(
+            deployment, scenarios.OVERLOAD_SLOW_FACTOR
+        )
+    rate *= scenario.rate_factor
+    arrivals = load.plan_arrivals(deployment.classes, rate, duration_s, seed)
+    poison: list[str] = []
+    if scenario.poison:
+        arrivals, poison = _poison(arrivals)
+    with fleet.Fleet(deployment, kind) as site:
+        site.command('crash_on', keys=poison)
+        answered = anyio.run(
+            _run_load, site, arrivals, scenario.steps, duration_s
+        )
+        ledger = site.read_ledger()
+        verdict = truth.check(deployment, answered, ledger, site.read_stats())
+    violations = verdict.violations + truth.check_crashes(poison, ledger)
+    healthy = [entry for entry in answered if entry.key not in poison]
+    return _build_result(
+        deployment, scenario, kind, (rate, duration_s), healthy, verdict
+    ) | {  # type: ignore[return-value]
+        'violations': [f'{each.promise}: {each.detail}' for each in violations]
+    }
+
+
+def _poison(
+    arrivals: list[load.Arrival],
+) -> tuple[list[load.Arrival], list[str]]:
+    """Makes some keys crash servers, each sent again by its caller."""
+    poisoned = list(arrivals)
+    keys = []
+    searches = [
+        position
+        for position, arrival in enumerate(arrivals)
+        if arrival.plan.idempotent
+    ]
+    for position in searches[POISON_EVERY // 2 :: POISON_EVERY]:
+        arrival = arrivals[position]
+        keys.append(arrival.key)
+        for repeat in range(1, POISON_REPEATS):
+            poisoned.append(
+                arrival._replace(
+                    at=arrival.at + 0.5 * repeat, caller=arrival.caller + repeat
+                )
+            )
+    poisoned.sort(key=lambda arrival: arrival.at)
+    return poisoned, keys
+
+
+async def _run_load(
+    site: fleet.Fleet,
+    arrivals: list[load.Arrival],
+    steps: tuple[tuple[float, scenarios.Step], ...],
+    duration_s: float,
+) -> list[load.Answered]:
+    answered: list[load.Answered] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def hurt(share: float, step: scenarios.Step) -> None:
+            await anyio.sleep(share * duration_s)
+            await anyio.to_thread.run_sync(step, site)
+
+        for share, step in steps:
+            if share == 0.0:
+                await hurt(share, step)
+            else:
+                tasks.start_soon(hurt, share, step)
+        answered += await load.run_load(site.deployment, arrivals)
+    return answered
+
+
+def _build_result(
+    deployment: plans.Deployment,
+    scenario: scenarios.Scenario,
+    kind: str,
+    load_shape: tuple[float, float],
+    answered: list[load.Answered],
+    verdict: truth.Truth,
+) -> dict[str, Any]:
+    rate, duration_s = load_shape
+    by_class: dict[str, list[load.Answered]] = {}
+    for entry in answered:
+        by_class.setdefault(entry.class_name, []).append(entry)
+    served = [entry for entry in answered if entry.outcome != 'not run']
+    return {
+        'site': deployment.name,
+        'scenario': scenario.name,
+        'system': kind,
+        'seed': deployment.seed,
+        'rate': round(rate, 1),
+        'overall': summaries.summarise(served or answered),
+        'classes': {
+            name: summaries.summarise(entries)
+            for name, entries in sorted(by_class.items())
+        },
+        'answered_coverage': summaries.compute_coverage(served),
+        'service': summaries.compute_service(deployment, served),
+        'goodput': summaries.count_good(deployment, answered) / duration_s,
+        'extra_ratio': verdict.extra_ratio,
+        'peak_connections': verdict.peak_connections,
+        'latencies_ms': sorted(
+            round(entry.latency_s * 1000, 2) for entry in served
+        ),
+    }
+
+
+def _list_cells(result: Result) -> tuple[Any, ...]:
+    overall = result['overall']
+    outcomes: dict[str, int] = {}
+    for summary in result['classes'].values():
+        for name, count in summary['outcomes'].items():
+            outcomes[name] = outcomes.get(name, 0) + count
+    return (
+        result['site'],
+        result['scenario'],
+        result['system'],
+        overall['p50_ms'],
+        overall['p99_ms'],
+        overall['p999_ms'],
+        f'{result["answered_coverage"]:.3%}',
+        f'{result["service"]:.3f}',
+        round(result['goodput'], 1),
+        f'{result["extra_ratio"]:.2%}',
+        result['peak_connections'],
+        summaries.format_outcomes(outcomes),
+        len(result['violations']),
+    )
--- a/packages/cli/balsamshore_cli/definitions.py
+++ b/packages/cli/balsamshore_cli/definitions.py
@@ -104,3 +104,20 @@
         from balsamshore_cli import demo
 
         return demo.run_demo(self._env, float(rate), float(seconds), int(seed))
+
+    @fire.decorators.SetParseFn(str)
+    def bench(
+        self,
+        quick: str = 'no',
+        scenarios: str = '',
+        sites: str = '',
+        seed: str = '7',
+        out: str = 'out/bench',
+    ) -> statuses.ExitStatus:
+        """Measures the system beside the plain baseline under faults."""
+        from balsamshore_cli import bench
+
+        short = quick not in ('no', 'False')
+        return bench.run_bench(
+            self._env, short, scenarios, sites, int(seed), out
+        )
--- /dev/null
+++ b/packages/cli/balsamshore_cli/scenarios.py
@@ -0,0 +1,186 @@
+"""Fault schedules of the benchmark, for either deployment."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from balsamshore_standins import fleet
+from balsamshore_standins import plans
+
+STRAGGLE_FACTOR = 20.0
+OVERLOAD_SLOW_FACTOR = 10.0
+OVERLOAD_RATE_FACTOR = 2.0
+NEXT_SNAPSHOT = plans.FIRST_SNAPSHOT + 1
+
+Step = Callable[[fleet.Fleet], None]
+
+
+class Scenario(NamedTuple):
+    """One fault schedule.
+
+    Attributes:
+        name: Its name on the command line.
+        summary: What happens.
+        rate_factor: Load as a multiple of the base rate, or of the
+            deployment's capacity for overload.
+        steps: Share of the run's length, and what is done then.
+        poison: Whether some requests crash the servers that run them.
+        saturated: Whether rates are multiples of the capacity.
+    """
+
+    name: str
+    summary: str
+    rate_factor: float
+    steps: tuple[tuple[float, Step], ...]
+    poison: bool = False
+    saturated: bool = False
+
+
+def list_one_replica(site: fleet.Fleet, replica: int) -> list[str]:
+    """Names one replica of every shard."""
+    return [
+        plans.list_replicas(index, shard)[replica]
+        for index in site.deployment.indexes
+        for shard in range(index.shards)
+    ]
+
+
+def _straggle(site: fleet.Fleet) -> None:
+    names = [
+        plans.list_replicas(index, shard)[0]
+        for index in site.deployment.indexes
+        for shard in range(index.shards)
+    ]
+    site.command('set', servers=names, slow_factor=STRAGGLE_FACTOR)
+
+
+def _lose_replicas(site: fleet.Fleet) -> None:
+    site.command('down', servers=list_one_replica(site, 1))
+
+
+def _drain(site: fleet.Fleet) -> None:
+    site.command('set', servers=list_one_replica(site, 0), draining=True)
+
+
+def _replace_drained(site: fleet.Fleet) -> None:
+    names = list_one_replica(site, 0)
+    site.command('down', servers=names)
+    site.command('up', servers=names)
+
+
+def _silence(site: fleet.Fleet) -> None:
+    site.command('silence', servers=list_all(site))
+
+
+def list_all(site: fleet.Fleet) -> list[str]:
+    """Names every backend server."""
+    return [server.name for server in site.deployment.servers]
+
+
+def _add_snapshot(site: fleet.Fleet) -> None:
+    """Servers load the next snapshot, repartitioned by one shard."""
+    hold_snapshots(site, (plans.FIRST_SNAPSHOT, NEXT_SNAPSHOT))
+    document = plans.build_document(
+        site.deployment, 2, 1, (plans.FIRST_SNAPSHOT, NEXT_SNAPSHOT)
+    )
+    site.publish(document)
+
+
+def _drop_snapshot(site: fleet.Fleet) -> None:
+    """Servers drop the first snapshot before anyone is told."""
+    hold_snapshots(site, (NEXT_SNAPSHOT,))
+    document = plans.build_document(site.deployment, 3, 1, (NEXT_SNAPSHOT,))
+    site.publish(document)
+
+
+def hold_snapshots(site: fleet.Fleet, snapshots: tuple[int, ...]) -> None:
+    """Makes the servers hold these snapshots; later ones are moved by one."""
+    holds: dict[str, list[tuple[str, int, str]]] = {}
+    for index in site.deployment.indexes:
+        for snapshot in snapshots:
+            moved = int(snapshot != plans.FIRST_SNAPSHOT)
+            for shard in range(index.shards):
+                held_by = (shard + moved) % index.shards
+                for name in plans.list_replicas(index, held_by):
+                    part = (index.name, snapshot, f's{shard}')
+                    holds.setdefault(name, []).append(part)
+    site.command('hold', holds=holds)
+
+
+def _saturate(site: fleet.Fleet) -> None:
+    site.command(
+        'set', servers=list_all(site), slow_factor=OVERLOAD_SLOW_FACTOR
+    )
+
+
+def _lose_service(site: fleet.Fleet) -> None:
+    index = site.deployment.indexes[0]
+    site.command('down', servers=plans.list_replicas(index, 0))
+
+
+def _return_service(site: fleet.Fleet) -> None:
+    index = site.deployment.indexes[0]
+    site.command('up', servers=plans.list_replicas(index, 0))
+
+
+SCENARIOS = (
+    Scenario('steady', 'no fault', 1.0, ()),
+    Scenario(
+        'straggler',
+        'one replica of every shard is 20 times slower',
+        1.0,
+        ((0.0, _straggle),),
+    ),
+    Scenario(
+        'replica-loss',
+        'one replica of every shard is lost without warning',
+        1.0,
+        ((0.25, _lose_replicas),),
+    ),
+    Scenario(
+        'drain-cold',
+        'one replica of every shard drains, then is replaced by a cold one',
+        1.0,
+        ((0.2, _drain), (0.6, _replace_drained)),
+    ),
+    Scenario(
+        'silent',
+        'every open connection to a backend server goes silent',
+        1.0,
+        ((0.4, _silence),),
+    ),
+    Scenario(
+        'snapshot',
+        'a repartitioned snapshot appears, the former is dropped',
+        1.0,
+        ((0.3, _add_snapshot), (0.6, _drop_snapshot)),
+    ),
+    Scenario('peak', 'load at capacity', 1.0, ((0.0, _saturate),), False, True),
+    Scenario(
+        'overload',
+        'load at twice the capacity',
+        OVERLOAD_RATE_FACTOR,
+        ((0.0, _saturate),),
+        False,
+        True,
+    ),
+    Scenario(
+        'crash',
+        'some requests crash every server that runs them',
+        1.0,
+        (),
+        True,
+    ),
+    Scenario(
+        'outage',
+        'all replicas of one shard are lost, then return cold',
+        1.0,
+        ((0.3, _lose_service), (0.5, _return_service)),
+    ),
+    Scenario(
+        'two-faults',
+        'a straggler in every shard while connections go silent',
+        1.0,
+        ((0.0, _straggle), (0.4, _silence)),
+    ),
+)
+QUICK = ('steady', 'straggler', 'replica-loss')
--- a/packages/cli/balsamshore_cli/summaries.py
+++ b/packages/cli/balsamshore_cli/summaries.py
@@ -5,6 +5,9 @@
 from typing import TypedDict
 
 from balsamshore_standins import load
+from balsamshore_standins import plans
+
+LATE_ALLOWANCE_MS = 15
 
 
 class Summary(TypedDict):
@@ -45,3 +48,40 @@
 def format_outcomes(outcomes: dict[str, int]) -> str:
     """Writes counts of outcome words on one line."""
     return ', '.join(f'{name} {count}' for name, count in outcomes.items())
+
+
+def compute_coverage(entries: list[load.Answered]) -> float:
+    """Returns the mean coverage of requests that were not refused."""
+    return sum(map(read_coverage, entries)) / max(1, len(entries))
+
+
+def compute_service(
+    deployment: plans.Deployment, entries: list[load.Answered]
+) -> float:
+    """Returns service per answered request, weighted by class, 0 to 1.
+
+    A request is worth its class's weight times its coverage, and nothing
+    when it came after its deadline.
+    """
+    worths = {plan.name: plan for plan in deployment.classes}
+    earned = possible = 0.0
+    for entry in entries:
+        plan = worths[entry.class_name]
+        possible += plan.worth
+        if entry.latency_s * 1000 <= plan.deadline_ms + LATE_ALLOWANCE_MS:
+            earned += plan.worth * read_coverage(entry)
+    return earned / max(1e-9, possible)
+
+
+def count_good(
+    deployment: plans.Deployment, entries: list[load.Answered]
+) -> int:
+    """Counts requests answered in time with at least their class's floor."""
+    classes = {plan.name: plan for plan in deployment.classes}
+    return sum(
+        entry.latency_s * 1000
+        <= classes[entry.class_name].deadline_ms + LATE_ALLOWANCE_MS
+        and read_coverage(entry) >= classes[entry.class_name].coverage_floor
+        and entry.outcome in ('complete', 'partial')
+        for entry in entries
+    )
--- a/packages/standins/balsamshore_standins/backend.py
+++ b/packages/standins/balsamshore_standins/backend.py
@@ -9,6 +9,7 @@
 """
 
 import json
+import math
 import random
 import socket
 import struct
@@ -24,6 +25,8 @@
 SHED_QUEUE_PER_SLOT = 12
 TAIL_RATIO = 0.01
 TAIL_FACTOR = 6.0
+SPREAD = 0.3
+MEAN_FACTOR = math.exp(SPREAD**2 / 2) * (1 + TAIL_RATIO * (TAIL_FACTOR - 1))
 COLD_FACTOR = 4.0
 COLD_S = 2.0
 LINGER_RESET = struct.pack('ii', 1, 0)
@@ -245,7 +248,7 @@
         )
 
     def _draw_service_time(self) -> float:
-        duration = self.plan.service_s * self._rng.lognormvariate(0, 0.3)
+        duration = self.plan.service_s * self._rng.lognormvariate(0, SPREAD)
         if self._rng.random() < TAIL_RATIO:
             duration *= TAIL_FACTOR
         if anyio.current_time() < self._cold_until:
--- a/packages/standins/balsamshore_standins/plans.py
+++ b/packages/standins/balsamshore_standins/plans.py
@@ -274,6 +274,25 @@
     }
 
 
+def compute_capacity(deployment: Deployment, slow_factor: float) -> float:
+    """Requests a second that the fullest index could just serve.
+
+    Args:
+        deployment: The site.
+        slow_factor: How much slower than planned its servers run.
+    """
+    rates = []
+    for index in deployment.indexes:
+        share = sum(
+            plan.load_share
+            for plan in deployment.classes
+            if plan.index_name == index.name
+        )
+        mean_s = index.service_s * backend.MEAN_FACTOR * slow_factor
+        rates.append(index.replicas * index.slots / mean_s / share)
+    return min(rates)
+
+
 def list_vms(deployment: Deployment) -> list[dict[str, str]]:
     """Builds the published VM list."""
     return [
--- a/packages/standins/balsamshore_standins/truth.py
+++ b/packages/standins/balsamshore_standins/truth.py
@@ -11,6 +11,7 @@
 
 STARTED = frozenset(('ran', 'crashed', 'cancelled'))
 EFFECTIVE = frozenset(('ran', 'crashed'))
+MAX_CRASHES = 2
 
 
 class Violation(NamedTuple):
@@ -131,3 +132,19 @@
         for server in stats
         if server['over_limit'] or server['peak_connections'] > server['limit']
     ]
+
+
+def check_crashes(
+    poison: list[str], ledger: list[list[Any]]
+) -> list[Violation]:
+    """Checks that each crashing request stopped after two servers."""
+    crashes: collections.Counter[str] = collections.Counter()
+    for line in ledger:
+        execution = backend.Execution(*line)
+        if execution.result == 'crashed':
+            crashes[execution.key] += 1
+    return [
+        Violation('crash', f'{key} crashed {crashes[key]} servers')
+        for key in poison
+        if crashes[key] > MAX_CRASHES
+    ]
