Bound hedge delay by the median, keep a reserve for unproven servers

All hedges of a node shared one small burst. Change: the delay is at most twice the median; a server without a prompt reply of late is hedged from a reserve of its own; a wait counts against its server before the reply is there; several quiet servers at once put all older idle connections in doubt; non-idempotent requests use only a connection that made progress just now.

--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -69,6 +69,7 @@
     shed_until: float = 0.0
     leaving_until: float = 0.0
     stalled: bool = False
+    prompt: bool = False
     lost_at: float = -1e9
     failures: int = 0
 
@@ -139,6 +140,7 @@
     next_id: int = 1
     sweep_position: int = 0
     doubt_before: float = -1e9
+    doubts: dict[str, float] = dataclasses.field(default_factory=dict)
     fleet_peak: int = 1
     fleet_peak_until: float = 0.0
 
--- a/packages/core/balsamshore_core/budgets.py
+++ b/packages/core/balsamshore_core/budgets.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 
-HEDGE_BUDGET_RATIO = 0.015
-HEDGE_BUDGET_BURST = 5.0
-RETRY_BUDGET_RATIO = 0.03
+HEDGE_BUDGET_RATIO = 0.012
+HEDGE_BUDGET_BURST = 10.0
+HEDGE_BUDGET_START = 3.0
+RETRY_BUDGET_RATIO = 0.02
 RETRY_BUDGET_BURST = 10.0
-DOUBT_BUDGET_RATIO = 0.01
-DOUBT_BUDGET_BURST = 50.0
+DOUBT_BUDGET_RATIO = 0.005
+DOUBT_BUDGET_BURST = 30.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,8 +32,8 @@
 
 
 def new_hedge_budget() -> Budget:
-    """Makes the budget that hedges draw from."""
-    return Budget(HEDGE_BUDGET_RATIO, HEDGE_BUDGET_BURST, HEDGE_BUDGET_BURST)
+    """Makes the budget for hedges against servers of good record."""
+    return Budget(HEDGE_BUDGET_RATIO, HEDGE_BUDGET_BURST, HEDGE_BUDGET_START)
 
 
 def new_retry_budget() -> Budget:
@@ -41,9 +42,9 @@
 
 
 def new_doubt_budget() -> Budget:
-    """Makes the budget for attempts that may be on a silent connection.
+    """Makes the budget for attempts on doubtful servers and connections.
 
-    Its burst is larger: what was sent on a silent connection never reached
-    a server, so sending it again adds no load.
+    Its burst is larger: a node meets each straggler once, and what went
+    over a silent connection never reached a server.
     """
     return Budget(DOUBT_BUDGET_RATIO, DOUBT_BUDGET_BURST, DOUBT_BUDGET_BURST)
--- a/packages/core/balsamshore_core/commands.py
+++ b/packages/core/balsamshore_core/commands.py
@@ -71,6 +71,7 @@
         kind: `first`, `hedge` or `retry`.
         deadline_at: Monotonic time after which it is useless.
         body: Request body.
+        careful: Use only a connection that made progress just now.
     """
 
     attempt_id: int
@@ -83,6 +84,7 @@
     kind: str
     deadline_at: float
     body: bytes
+    careful: bool
 
 
 class AttemptDropped(NamedTuple):
@@ -152,6 +154,13 @@
     finished: bool
 
 
+class AttemptSlow(NamedTuple):
+    """An attempt has already taken longer than its shard usually does."""
+
+    server: str
+    elapsed_s: float
+
+
 class ServerLost(NamedTuple):
     """A server cut connections; `running` are the attempts it had."""
 
--- a/packages/core/balsamshore_core/connections.py
+++ b/packages/core/balsamshore_core/connections.py
@@ -31,10 +31,13 @@
 REOPEN_BASE_S = 0.2
 REOPEN_MAX_S = 5.0
 MAX_OPENING_PER_SERVER = 2
-SILENCE_MIN_S = 0.15
-SILENCE_FACTOR = 4.0
+SILENCE_MIN_S = 0.06
+SILENCE_FACTOR = 3.0
 SILENCE_GIVE_UP_S = 5.0
-CHECK_TIMEOUT_S = 0.5
+CHECK_TIMEOUT_S = 0.3
+CAREFUL_AGE_S = 0.5
+DOUBT_WINDOW_S = 0.5
+DOUBT_SERVERS = 3
 CONNECT_TIMEOUT_S = 1.0
 HEALTH_SWEEP_S = 0.1
 HEALTH_AGE_S = 2.0
@@ -104,12 +107,7 @@
 ) -> Messages:
     pools = board.connections.pools
     known = tuple(name for name in message.servers if name in pools)
-    for name in known:
-        yield from _check_doubtful(board, pools[name], now)
-    ready = [name for name in known if _has_room(pools[name], message.alone)]
-    chosen = replicas.choose(board, ready, now)
-    if chosen is not None:
-        yield from _send(board, pools[chosen], message, now)
+    if (yield from _offer(board, message, now)):
         return
     if not any(replicas.is_holder(board, name, now) for name in known):
         yield commands.AttemptRejected(message.attempt_id, 'no_replica')
@@ -131,6 +129,28 @@
     )
 
 
+def _offer(
+    board: blackboard.Blackboard, wanted: commands.AttemptWanted, now: float
+) -> collections.abc.Generator[Any, None, bool]:
+    """Sends an attempt if a server has room; returns whether it did."""
+    pools = board.connections.pools
+    known = [name for name in wanted.servers if name in pools]
+    for name in known:
+        yield from _check_doubtful(board, pools[name], now)
+    ready = [name for name in known if _has_room(pools[name], wanted.alone)]
+    chosen = replicas.choose(board, ready, now)
+    if chosen is None:
+        return False
+    pool = pools[chosen]
+    connection = board.connections.connections[pool.idle[-1]]
+    if wanted.careful and now - connection.progress_at > CAREFUL_AGE_S:
+        pool.idle.pop()
+        yield from _check_health(board, connection, now)
+        return False
+    yield from _send(board, pool, wanted, now)
+    return True
+
+
 def _has_room(pool: blackboard.ServerPool, alone: bool) -> bool:
     if not pool.idle or pool.reserved:
         return False
@@ -181,15 +201,8 @@
     if wanted is None:
         return
     pools = board.connections.pools
-    ready = [
-        name
-        for name in wanted.servers
-        if name in pools and _has_room(pools[name], wanted.alone)
-    ]
-    chosen = replicas.choose(board, ready, now)
-    if chosen is not None:
+    if (yield from _offer(board, wanted, now)):
         _forget_waiting(board, wanted.attempt_id)
-        yield from _send(board, pools[chosen], wanted, now)
     elif now >= wanted.deadline_at or not any(
         replicas.is_holder(board, name, now) for name in wanted.servers
     ):
@@ -401,6 +414,7 @@
             return
     elif not connection.doubted:
         connection.doubted = True
+        _note_doubt(board, connection, pool, now)
         yield commands.AttemptDoubted(connection.attempt_id)
     if not _any_progress_since(board, pool, now - SILENCE_MIN_S):
         yield from _compare(board, pool, now)
@@ -410,6 +424,24 @@
     )
 
 
+def _note_doubt(
+    board: blackboard.Blackboard,
+    connection: blackboard.Connection,
+    pool: blackboard.ServerPool,
+    now: float,
+) -> None:
+    """Doubts all idle connections when several servers go quiet at once."""
+    section = board.connections
+    if _any_progress_since(board, pool, connection.sent_at):
+        return
+    section.doubts[pool.server] = now
+    for name, at in tuple(section.doubts.items()):
+        if now - at > DOUBT_WINDOW_S:
+            del section.doubts[name]
+    if len(section.doubts) >= DOUBT_SERVERS:
+        section.doubt_before = max(section.doubt_before, connection.sent_at)
+
+
 def _compare(
     board: blackboard.Blackboard, pool: blackboard.ServerPool, now: float
 ) -> Messages:
@@ -509,7 +541,6 @@
     for name in _next_slice(board):
         pool = section.pools[name]
         yield from _open(board, pool, WARM_CONNECTIONS, now)
-        yield from _check_doubtful(board, pool, now)
         if checks and pool.idle:
             oldest = section.connections[pool.idle[0]]
             if now - oldest.progress_at > HEALTH_AGE_S:
--- a/packages/core/balsamshore_core/queries.py
+++ b/packages/core/balsamshore_core/queries.py
@@ -15,6 +15,7 @@
 
 from balsamshore_core import actions
 from balsamshore_core import blackboard
+from balsamshore_core import budgets
 from balsamshore_core import commands
 from balsamshore_core import configuration
 from balsamshore_core import events
@@ -22,7 +23,7 @@
 from balsamshore_core import replicas
 
 MAX_RESTARTS = 1
-CANARY_WAIT_FACTOR = 1.5
+CANARY_WAIT_FACTOR = 1.0
 MAX_CANARIES = 2
 HEDGE_RECHECK_S = 0.03
 FREE_REFUSALS = frozenset(('draining', 'snapshot'))
@@ -201,6 +202,7 @@
         kind,
         query.deadline_at,
         query.arrival.body,
+        not query.target.idempotent,
     )
 
 
@@ -235,6 +237,8 @@
     attempt = section.attempts.get(int(message.key))
     if attempt is None:
         return
+    budget = _choose_hedge_budget(board, attempt)
+    yield commands.AttemptSlow(attempt.server, now - attempt.sent_at)
     query = section.queries[attempt.query_id]
     shard = query.shards[attempt.shard]
     if len(shard.live) > 1 or query.alone:
@@ -248,7 +252,7 @@
         and board.connections.pools[name].idle
         and replicas.is_usable(board, name, now)
     ]
-    if others and section.hedge_budget.spend():
+    if others and budget.spend():
         yield from _launch(board, query, shard, 'hedge')
         return
     yield commands.StartTimer(
@@ -256,6 +260,15 @@
     )
 
 
+def _choose_hedge_budget(
+    board: blackboard.Blackboard, attempt: blackboard.Attempt
+) -> budgets.Budget:
+    replica = board.replicas.replicas.get(attempt.server)
+    if replica is None or replica.prompt:
+        return board.queries.hedge_budget
+    return board.queries.doubt_budget
+
+
 def _doubted(
     board: blackboard.Blackboard, message: commands.AttemptDoubted, now: float
 ) -> Messages:
--- a/packages/core/balsamshore_core/replicas.py
+++ b/packages/core/balsamshore_core/replicas.py
@@ -21,9 +21,11 @@
 SHED_PAUSE_S = 0.05
 LEAVING_S = 30.0
 MIN_HEDGE_DELAY_S = 0.015
-UNSEEN_HEDGE_DELAY_S = 0.1
-HEDGE_QUANTILE = 0.98
-MIN_HEDGE_SAMPLES = 20
+UNSEEN_HEDGE_DELAY_S = 0.05
+HEDGE_QUANTILE = 0.985
+HEDGE_MEDIAN_FACTOR = 2.0
+MIN_HEDGE_SAMPLES = 10
+ALL_SHARDS = ''
 
 Messages = collections.abc.Iterator[Any]
 
@@ -81,11 +83,19 @@
 
 
 def hedge_delay(board: blackboard.Blackboard, index: str, shard: str) -> float:
-    """Seconds after which an attempt on a shard counts as straggling."""
-    latencies = board.replicas.latencies.get((index, shard))
-    if latencies is None or latencies.count() < MIN_HEDGE_SAMPLES:
-        return UNSEEN_HEDGE_DELAY_S
-    return max(MIN_HEDGE_DELAY_S, latencies.quantile(HEDGE_QUANTILE))
+    """Seconds after which an attempt on a shard counts as straggling.
+
+    The median bounds it, so that stragglers among the samples do not make
+    the next straggler look usual.
+    """
+    latencies = board.replicas.latencies
+    for key in ((index, shard), (index, ALL_SHARDS)):
+        histogram = latencies.get(key)
+        if histogram is not None and histogram.count() >= MIN_HEDGE_SAMPLES:
+            late = histogram.quantile(HEDGE_QUANTILE)
+            usual = HEDGE_MEDIAN_FACTOR * histogram.quantile(0.5)
+            return max(MIN_HEDGE_DELAY_S, min(late, usual))
+    return UNSEEN_HEDGE_DELAY_S
 
 
 def list_leaving(
@@ -126,7 +136,7 @@
         (index, shard)
         for index, snapshots in current.indexes.items()
         for snapshot in snapshots
-        for shard in snapshot.shards
+        for shard in (*snapshot.shards, ALL_SHARDS)
     }
     for key in set(section.latencies) - alive:
         del section.latencies[key]
@@ -145,14 +155,17 @@
 def _note_timed(
     board: blackboard.Blackboard, message: commands.AttemptTimed, now: float
 ) -> Messages:
-    key = (message.index_name, message.shard)
-    latencies = board.replicas.latencies.get(key)
-    if latencies is None:
-        latencies = board.replicas.latencies[key] = quantiles.Histogram()
-    latencies.add(message.elapsed_s)
+    latencies = board.replicas.latencies
+    for shard in (message.shard, ALL_SHARDS):
+        key = (message.index_name, shard)
+        if key not in latencies:
+            latencies[key] = quantiles.Histogram()
+        latencies[key].add(message.elapsed_s)
     replica = board.replicas.replicas.get(message.server)
     if replica is None:
         return
+    delay = hedge_delay(board, message.index_name, message.shard)
+    replica.prompt = message.finished and message.elapsed_s < delay
     if message.elapsed_s > replica.latency_s:
         replica.latency_s = message.elapsed_s
     elif message.finished:
@@ -165,6 +178,20 @@
     yield from ()
 
 
+def _note_slow(
+    board: blackboard.Blackboard, message: commands.AttemptSlow, now: float
+) -> Messages:
+    """Counts a wait against its server before the reply is there."""
+    replica = board.replicas.replicas.get(message.server)
+    if replica is None:
+        return
+    replica.prompt = False
+    if message.elapsed_s > replica.latency_s:
+        replica.latency_s = message.elapsed_s
+        replica.latency_at = now
+    yield from ()
+
+
 def _note_reply(
     board: blackboard.Blackboard, message: commands.AttemptReplied, now: float
 ) -> Messages:
@@ -272,6 +299,7 @@
     commands.ConfigurationAccepted: _take_configuration,
     commands.AttemptSent: _note_sent,
     commands.AttemptTimed: _note_timed,
+    commands.AttemptSlow: _note_slow,
     commands.AttemptReplied: _note_reply,
     commands.AttemptLost: _note_lost_attempt,
     commands.ServerRefused: _note_refused,
