Remember stragglers, tell peers, and measure after a warm-up

Change: a cancelled late attempt counts three times its wait; a server that is slow each time it is tried is tried ever more seldom; nodes tell each other of stragglers.

--- a/packages/cli/balsamshore_cli/scenarios.py
+++ b/packages/cli/balsamshore_cli/scenarios.py
@@ -22,7 +22,8 @@
         summary: What happens.
         rate_factor: Load as a multiple of the base rate, or of the
             deployment's capacity for overload.
-        steps: Share of the run's length, and what is done then.
+        steps: Share of the measured time, and what is done then; at 0.0
+            it is done before the warm-up.
         poison: Whether some requests crash the servers that run them.
         saturated: Whether rates are multiples of the capacity.
     """
@@ -130,6 +131,12 @@
         1.0,
         ((0.0, _straggle),),
     ),
+    Scenario(
+        'straggler-onset',
+        'one replica of every shard becomes 20 times slower',
+        1.0,
+        ((0.3, _straggle),),
+    ),
     Scenario(
         'replica-loss',
         'one replica of every shard is lost without warning',
--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -70,6 +70,7 @@
     leaving_until: float = 0.0
     stalled: bool = False
     prompt: bool = False
+    slow_count: int = 0
     lost_at: float = -1e9
     failures: int = 0
 
@@ -83,6 +84,9 @@
         default_factory=dict
     )
     leaving: dict[str, float] = dataclasses.field(default_factory=dict)
+    slow: dict[str, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,7 +108,21 @@
 
 @dataclasses.dataclass(slots=True)
 class ServerPool:
-    """The connections to one backend server."""
+    """The connections to one backend server.
+
+    Attributes:
+        server: Its name.
+        address: Its `host:port`.
+        share: Connections that this node may hold to it.
+        idle: Connections free for use, the last used at the end.
+        members: All connections, opening ones included.
+        opening: How many are opening.
+        ghosts: When silent connections were given up; the server may still
+            count them.
+        reopen_at: No connection is opened before this time.
+        failures: Consecutive failures; they lengthen the wait.
+        reserved: Whether a suspect runs alone on the server.
+    """
 
     server: str
     address: str
@@ -112,6 +130,7 @@
     idle: list[int] = dataclasses.field(default_factory=list)
     members: set[int] = dataclasses.field(default_factory=set)
     opening: int = 0
+    ghosts: list[float] = dataclasses.field(default_factory=list)
     reopen_at: float = 0.0
     failures: int = 0
     reserved: bool = False
@@ -323,6 +342,7 @@
     refutation: int = 0
     order: list[str] = dataclasses.field(default_factory=list)
     quiet_until: float = 0.0
+    notice_at: float = 0.0
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
--- a/packages/core/balsamshore_core/connections.py
+++ b/packages/core/balsamshore_core/connections.py
@@ -34,6 +34,8 @@
 SILENCE_MIN_S = 0.06
 SILENCE_FACTOR = 3.0
 SILENCE_GIVE_UP_S = 5.0
+GHOST_HOLD_S = 30.0
+GHOST_MIN_HOLD_S = 5.0
 CHECK_TIMEOUT_S = 0.3
 CAREFUL_AGE_S = 0.5
 DOUBT_WINDOW_S = 0.5
@@ -44,6 +46,9 @@
 MAX_HEALTH_CHECKS_PER_SWEEP = 4
 MAX_WAITING_PER_SHARD = 512
 MIN_SEND_S = 0.002
+SENT = 'sent'
+CHECKING = 'checking'
+NO_ROOM = 'no room'
 
 Messages = collections.abc.Iterator[Any]
 WaitKey = tuple[str, str]
@@ -107,7 +112,8 @@
 ) -> Messages:
     pools = board.connections.pools
     known = tuple(name for name in message.servers if name in pools)
-    if (yield from _offer(board, message, now)):
+    offered = yield from _offer(board, message, now)
+    if offered == SENT:
         return
     if not any(replicas.is_holder(board, name, now) for name in known):
         yield commands.AttemptRejected(message.attempt_id, 'no_replica')
@@ -121,8 +127,9 @@
         return
     queue.append(message.attempt_id)
     room.wanted[message.attempt_id] = message
-    for name in known:
-        yield from _grow(board, pools[name], now)
+    if offered == NO_ROOM:
+        for name in known:
+            yield from _grow(board, pools[name], now)
     yield commands.StartTimer(
         now + replicas.SHED_PAUSE_S,
         events.TimerDue('wait_check', message.attempt_id),
@@ -131,8 +138,8 @@
 
 def _offer(
     board: blackboard.Blackboard, wanted: commands.AttemptWanted, now: float
-) -> collections.abc.Generator[Any, None, bool]:
-    """Sends an attempt if a server has room; returns whether it did."""
+) -> collections.abc.Generator[Any, None, str]:
+    """Sends an attempt if a server has room; returns what came of it."""
     pools = board.connections.pools
     known = [name for name in wanted.servers if name in pools]
     for name in known:
@@ -140,15 +147,15 @@
     ready = [name for name in known if _has_room(pools[name], wanted.alone)]
     chosen = replicas.choose(board, ready, now)
     if chosen is None:
-        return False
+        return NO_ROOM
     pool = pools[chosen]
     connection = board.connections.connections[pool.idle[-1]]
     if wanted.careful and now - connection.progress_at > CAREFUL_AGE_S:
         pool.idle.pop()
         yield from _check_health(board, connection, now)
-        return False
+        return CHECKING
     yield from _send(board, pool, wanted, now)
-    return True
+    return SENT
 
 
 def _has_room(pool: blackboard.ServerPool, alone: bool) -> bool:
@@ -201,7 +208,8 @@
     if wanted is None:
         return
     pools = board.connections.pools
-    if (yield from _offer(board, wanted, now)):
+    offered = yield from _offer(board, wanted, now)
+    if offered == SENT:
         _forget_waiting(board, wanted.attempt_id)
     elif now >= wanted.deadline_at or not any(
         replicas.is_holder(board, name, now) for name in wanted.servers
@@ -211,7 +219,7 @@
         yield commands.AttemptRejected(wanted.attempt_id, reason)
     else:
         for name in wanted.servers:
-            if name in pools:
+            if name in pools and offered == NO_ROOM:
                 yield from _grow(board, pools[name], now)
         yield commands.StartTimer(
             now + replicas.SHED_PAUSE_S,
@@ -468,6 +476,7 @@
     pool = section.pools[connection.server]
     section.doubt_before = max(section.doubt_before, connection.sent_at)
     yield actions.Count('silent_connections')
+    pool.ghosts.append(now)
     yield from _close(board, connection)
     yield from _check_doubtful(board, pool, now)
     yield from _open(board, pool, WARM_CONNECTIONS, now)
@@ -498,6 +507,7 @@
     fresh = connection.progress_at == 0.0
     if not fresh:
         section.doubt_before = max(section.doubt_before, connection.sent_at)
+        pool.ghosts.append(now)
     yield from _close(board, connection)
     if fresh and not _any_progress_since(board, pool, connection.sent_at):
         yield commands.ServerStalled(pool.server)
@@ -592,8 +602,9 @@
     now: float,
 ) -> Messages:
     section = board.connections
+    room = pool.share - _count_ghosts(pool, now)
     while (
-        len(pool.members) < min(wanted, pool.share)
+        len(pool.members) < min(wanted, room)
         and pool.opening < MAX_OPENING_PER_SERVER
         and now >= pool.reopen_at
     ):
@@ -611,6 +622,19 @@
         )
 
 
+def _count_ghosts(pool: blackboard.ServerPool, now: float) -> int:
+    """Counts given-up connections that the server may still hold.
+
+    When they take the whole share, the oldest stops counting early, so that
+    the server is not lost to this node for long.
+    """
+    ghosts = [at for at in pool.ghosts if now - at < GHOST_HOLD_S]
+    if len(ghosts) >= pool.share and now - ghosts[0] > GHOST_MIN_HOLD_S:
+        ghosts = ghosts[1 - pool.share :] if pool.share > 1 else []
+    pool.ghosts = ghosts
+    return len(ghosts)
+
+
 def _shrink(
     board: blackboard.Blackboard, pool: blackboard.ServerPool
 ) -> Messages:
--- a/packages/core/balsamshore_core/events.py
+++ b/packages/core/balsamshore_core/events.py
@@ -145,6 +145,13 @@
     remaining_s: float
 
 
+class SlowServer(NamedTuple):
+    """A backend server that was seen far slower than its peers."""
+
+    server: str
+    latency_s: float
+
+
 class PeerMessage(NamedTuple):
     """One datagram between nodes.
 
@@ -160,6 +167,7 @@
         updates: News of members.
         suspects: News of suspect fingerprints.
         draining: Names of backend servers that are leaving.
+        slow: Backend servers that the sender saw straggle.
     """
 
     kind: str
@@ -173,6 +181,7 @@
     updates: tuple[MemberUpdate, ...]
     suspects: tuple[SuspectNotice, ...]
     draining: tuple[str, ...]
+    slow: tuple[SlowServer, ...] = ()
 
 
 class PeerMessageArrived(NamedTuple):
--- a/packages/core/balsamshore_core/membership.py
+++ b/packages/core/balsamshore_core/membership.py
@@ -32,6 +32,8 @@
 MAX_UPDATES = 8
 MAX_SUSPECTS_TOLD = 8
 MAX_LEAVING_TOLD = 8
+MAX_SLOW_TOLD = 24
+NOTICE_PAUSE_S = 0.05
 NOTICE_FANOUT = 16
 TELL_FACTOR = 3
 STATUS_RANK = {'alive': 0, 'suspect': 1, 'leaving': 2, 'dead': 3}
@@ -94,6 +96,7 @@
         _pick_updates(board, about),
         quarantine.list_notices(board, now, MAX_SUSPECTS_TOLD),
         replicas.list_leaving(board, now, MAX_LEAVING_TOLD),
+        replicas.list_slow(board, now, MAX_SLOW_TOLD),
     )
 
 
@@ -373,8 +376,20 @@
     )
 
 
-def _notify(
+def _want_notice(
     board: blackboard.Blackboard, message: commands.PeerNoticeWanted, now: float
+) -> Messages:
+    """Gathers the news of a short while into one round of notices."""
+    section = board.members
+    if section.notice_at <= now:
+        section.notice_at = now + NOTICE_PAUSE_S
+        yield commands.StartTimer(
+            section.notice_at, events.TimerDue('notice', 0)
+        )
+
+
+def _notify(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
 ) -> Messages:
     others = _list_others(board)
     board.rng.shuffle(others)
@@ -448,7 +463,8 @@
     events.VmListRead: _take_list,
     events.StopRequested: _leave,
     events.ClockJumped: _jumped,
-    commands.PeerNoticeWanted: _notify,
+    commands.PeerNoticeWanted: _want_notice,
+    'notice': _notify,
     'probe': _probe,
     'probe_indirect': _probe_indirect,
     'probe_verdict': _probe_verdict,
--- a/packages/core/balsamshore_core/queries.py
+++ b/packages/core/balsamshore_core/queries.py
@@ -238,7 +238,8 @@
     if attempt is None:
         return
     budget = _choose_hedge_budget(board, attempt)
-    yield commands.AttemptSlow(attempt.server, now - attempt.sent_at)
+    waited = now - attempt.sent_at
+    yield commands.AttemptSlow(attempt.server, waited)
     query = section.queries[attempt.query_id]
     shard = query.shards[attempt.shard]
     if len(shard.live) > 1 or query.alone:
--- a/packages/core/balsamshore_core/replicas.py
+++ b/packages/core/balsamshore_core/replicas.py
@@ -15,6 +15,8 @@
 from balsamshore_core import quantiles
 
 LATENCY_DECAY_S = 10.0
+MAX_DECAY_DOUBLINGS = 5
+CENSORED_FACTOR = 3.0
 LATENCY_SMOOTHING = 0.2
 UNSEEN_LATENCY_S = 0.005
 COLD_S = 2.0
@@ -26,6 +28,8 @@
 HEDGE_MEDIAN_FACTOR = 2.0
 MIN_HEDGE_SAMPLES = 10
 ALL_SHARDS = ''
+SLOW_FACTOR = 2.0
+SLOW_KEEP_S = 5.0
 
 Messages = collections.abc.Iterator[Any]
 
@@ -74,14 +78,20 @@
 def cost(board: blackboard.Blackboard, name: str, now: float) -> float:
     """Expected seconds until one more attempt would be answered."""
     replica = board.replicas.replicas[name]
-    latency = UNSEEN_LATENCY_S
-    if replica.latency_s:
-        age = now - replica.latency_at
-        decayed = replica.latency_s * math.exp(-age / LATENCY_DECAY_S)
-        latency = max(latency, decayed)
+    latency = max(UNSEEN_LATENCY_S, _decay_latency(replica, now))
     return latency * (replica.in_flight + 1)
 
 
+def _decay_latency(replica: blackboard.Replica, now: float) -> float:
+    """Forgets a slow time in order to try the server again.
+
+    A server that is slow each time it is tried is tried ever more seldom.
+    """
+    doublings = min(replica.slow_count, MAX_DECAY_DOUBLINGS)
+    decay_s = LATENCY_DECAY_S * 2**doublings
+    return replica.latency_s * math.exp(-(now - replica.latency_at) / decay_s)
+
+
 def hedge_delay(board: blackboard.Blackboard, index: str, shard: str) -> float:
     """Seconds after which an attempt on a shard counts as straggling.
 
@@ -108,6 +118,19 @@
     return tuple(list(leaving)[-limit:])
 
 
+def list_slow(
+    board: blackboard.Blackboard, now: float, limit: int
+) -> tuple[events.SlowServer, ...]:
+    """Servers that this node itself saw straggle, for peers."""
+    slow = board.replicas.slow
+    for name in [name for name, (_, until) in slow.items() if until <= now]:
+        del slow[name]
+    return tuple(
+        events.SlowServer(name, latency_s)
+        for name, (latency_s, _) in list(slow.items())[-limit:]
+    )
+
+
 def _pick_two(names: list[str], rng: random.Random) -> tuple[str, str]:
     first = int(rng.random() * len(names))
     second = int(rng.random() * (len(names) - 1))
@@ -165,17 +188,32 @@
     if replica is None:
         return
     delay = hedge_delay(board, message.index_name, message.shard)
-    replica.prompt = message.finished and message.elapsed_s < delay
-    if message.elapsed_s > replica.latency_s:
-        replica.latency_s = message.elapsed_s
+    late = message.elapsed_s >= delay
+    replica.prompt = message.finished and not late
+    if replica.prompt:
+        replica.slow_count = 0
+    elif late:
+        replica.slow_count += 1
+    latency_s = message.elapsed_s
+    if not message.finished and late:
+        latency_s *= CENSORED_FACTOR
+    decayed = _decay_latency(replica, now)
+    if latency_s > decayed:
+        replica.latency_s = latency_s
     elif message.finished:
-        age = now - replica.latency_at
-        decayed = replica.latency_s * math.exp(-age / LATENCY_DECAY_S)
-        replica.latency_s = decayed + LATENCY_SMOOTHING * (
-            message.elapsed_s - decayed
-        )
+        replica.latency_s = decayed + LATENCY_SMOOTHING * (latency_s - decayed)
     replica.latency_at = now
-    yield from ()
+    if latency_s > SLOW_FACTOR * delay:
+        yield from _tell_slow(board, message.server, latency_s, now)
+
+
+def _tell_slow(
+    board: blackboard.Blackboard, server: str, latency_s: float, now: float
+) -> Messages:
+    slow = board.replicas.slow
+    if server not in slow:
+        yield commands.PeerNoticeWanted()
+    slow[server] = (latency_s, now + SLOW_KEEP_S)
 
 
 def _note_slow(
@@ -186,7 +224,7 @@
     if replica is None:
         return
     replica.prompt = False
-    if message.elapsed_s > replica.latency_s:
+    if message.elapsed_s > _decay_latency(replica, now):
         replica.latency_s = message.elapsed_s
         replica.latency_at = now
     yield from ()
@@ -284,7 +322,7 @@
     yield from ()
 
 
-def _hear_leaving(
+def _hear(
     board: blackboard.Blackboard,
     message: events.PeerMessageArrived,
     now: float,
@@ -293,6 +331,15 @@
         replica = board.replicas.replicas.get(name)
         if replica is not None and now >= replica.leaving_until:
             yield commands.ServerLeaving(name, heard=True)
+    for hint in message.message.slow:
+        replica = board.replicas.replicas.get(hint.server)
+        if replica is None:
+            continue
+        if _decay_latency(replica, now) < hint.latency_s / SLOW_FACTOR:
+            replica.latency_s = hint.latency_s
+            replica.latency_at = now
+            replica.prompt = False
+            replica.slow_count = max(1, replica.slow_count)
 
 
 HANDLERS = {
@@ -307,5 +354,5 @@
     commands.ServerLost: _note_server_lost,
     commands.ServerStalled: _note_stalled,
     commands.ServerReturned: _note_returned,
-    events.PeerMessageArrived: _hear_leaving,
+    events.PeerMessageArrived: _hear,
 }
--- a/packages/wire/balsamshore_wire/codec.py
+++ b/packages/wire/balsamshore_wire/codec.py
@@ -91,6 +91,10 @@
             for suspect in message.suspects
         ],
         draining=list(message.draining),
+        slow=[
+            {'server': hint.server, 'latencyS': hint.latency_s}
+            for hint in message.slow
+        ],
     )
     return built.to_bytes_packed()
 
@@ -113,7 +117,7 @@
     )
     if read.kind not in KINDS:
         raise ValueError(f'unknown kind {read.kind[:20]!r}')
-    for name in ('updates', 'suspects', 'draining'):
+    for name in ('updates', 'suspects', 'draining', 'slow'):
         if len(getattr(read, name)) > MAX_LIST:
             raise ValueError(f'{name} has more than {MAX_LIST} entries')
     return events.PeerMessage(
@@ -135,6 +139,12 @@
             for suspect in read.suspects
         ),
         tuple(_check_text(name) for name in read.draining),
+        tuple(
+            events.SlowServer(
+                _check_text(hint.server), _check_seconds(hint.latencyS)
+            )
+            for hint in read.slow
+        ),
     )
 
 
--- a/packages/wire/balsamshore_wire/peer.capnp
+++ b/packages/wire/balsamshore_wire/peer.capnp
@@ -19,6 +19,11 @@
   remainingS @2 :Float32;
 }
 
+struct SlowServer {
+  server @0 :Text;
+  latencyS @1 :Float32;
+}
+
 struct PeerMessage {
   kind @0 :Text;
   sender @1 :Text;
@@ -31,6 +36,7 @@
   updates @8 :List(MemberUpdate);
   suspects @9 :List(SuspectNotice);
   draining @10 :List(Text);
+  slow @11 :List(SlowServer);
 }
 
 struct Forward {
