Prove the promises under schedules of faults, admit by queueing

Cause: hypothesis schedules over three nodes found: a joining node said 'not run' of a request id that had run elsewhere; a node holding the larger of two documents of one version reported nothing; a new node served a stale service's older version for a moment.

--- a/packages/core/balsamshore_core/admission.py
+++ b/packages/core/balsamshore_core/admission.py
@@ -1,9 +1,10 @@
 """Admission to each index, from the classes' targets alone.
 
 A query waits in order of its latest useful start, so urgent classes go
-first and none starves. The number that may run at once falls when answers
-are late or servers shed, and grows while the limit is used and answers are
-on time. What cannot finish in time is refused at the door.
+first and none starves. The number that may run at once falls when servers
+shed, or when answers take too long for the targets and far longer than the
+shortest of late, which tells queueing from slow service; it grows while the
+limit is used. What cannot finish in time is refused at the door.
 """
 
 import collections.abc
@@ -22,6 +23,8 @@
 DECREASE_RATIO = 0.8
 DECREASE_PAUSE_S = 0.1
 CONGESTED_SHARE_OF_TARGET = 0.6
+QUEUED_FACTOR = 2.5
+FLOOR_RISE_RATIO = 1.002
 TYPICAL_SMOOTHING = 0.1
 MAX_WAITING = 512
 MIN_RETRY_AFTER_S = 0.05
@@ -135,7 +138,7 @@
     gate = section.gates[message.index_name]
     gate.running -= 1
     _record(board, message)
-    if message.answer.reason != 'withdrawn':
+    if message.answer.outcome == 'complete' or message.congested:
         _adapt(board, gate, message, now)
     yield actions.Measure(f'latency.{message.class_name}', message.elapsed_s)
     outcome = message.answer.outcome.replace(' ', '_')
@@ -160,8 +163,10 @@
         default=message.started_s,
     )
     gate.typical_s += TYPICAL_SMOOTHING * (message.started_s - gate.typical_s)
+    gate.floor_s = min(gate.floor_s * FLOOR_RISE_RATIO, message.started_s)
     late = gate.typical_s > CONGESTED_SHARE_OF_TARGET * tightest_s
-    if message.congested or late:
+    queued = gate.typical_s > QUEUED_FACTOR * gate.floor_s
+    if message.congested or (late and queued):
         if now - gate.decreased_at > DECREASE_PAUSE_S:
             gate.limit = max(MIN_LIMIT, gate.limit * DECREASE_RATIO)
             gate.decreased_at = now
--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -47,6 +47,8 @@
     """Writer: `versions`."""
 
     current: configuration.Configuration | None = None
+    candidate: configuration.Configuration | None = None
+    joining: bool = True
     rejected_version: int = 0
     rejected_digest: str = ''
     rejected_reason: str = ''
@@ -254,6 +256,8 @@
         running: Queries that run.
         waiting: Latest useful start, sequence and arrival, as a heap.
         typical_s: Smoothed time from start to answer.
+        floor_s: Shortest such time of late; it rises slowly.
+        decreased_at: When the limit last fell.
     """
 
     limit: float
@@ -262,6 +266,7 @@
         dataclasses.field(default_factory=list)
     )
     typical_s: float = 0.01
+    floor_s: float = 1.0
     decreased_at: float = -1e9
 
 
--- a/packages/core/balsamshore_core/queries.py
+++ b/packages/core/balsamshore_core/queries.py
@@ -503,7 +503,6 @@
 ) -> Messages:
     query = board.queries.queries.get(int(message.key))
     if query is not None:
-        query.congested = True
         yield from _finish(board, query, 'timeout', now)
 
 
--- a/packages/core/balsamshore_core/requestids.py
+++ b/packages/core/balsamshore_core/requestids.py
@@ -19,6 +19,7 @@
 
 REQUEST_ID_LIFETIME_S = 600.0
 MAX_ISSUED = 50_000
+RETRY_AFTER_S = 1.0
 ID_PATTERN = re.compile(r'^([A-Za-z0-9._-]{1,64})~([0-9a-f]+)~([0-9a-f]+)$')
 
 Messages = collections.abc.Iterator[Any]
@@ -82,10 +83,14 @@
 ) -> Messages:
     current = board.configuration.current
     target = current.classes.get(message.class_name) if current else None
+    parts = parse_id(message.request_id)
+    if target is None and parts is not None:
+        reason = 'unknown_class' if current else 'starting'
+        yield _refuse_unless_run(board, message, parts, reason)
+        return
     if target is None or target.idempotent:
         yield commands.QueryCleared(message)
         return
-    parts = parse_id(message.request_id)
     if parts is None:
         yield refuse(message.query_id, 'request_id_required')
         return
@@ -96,6 +101,22 @@
     yield from _arrive_at_issuer(board, message, parts.sequence)
 
 
+def _refuse_unless_run(
+    board: blackboard.Blackboard,
+    message: events.QueryArrived,
+    parts: RequestId,
+    reason: str,
+) -> actions.Action:
+    """Refuses, and says `not run` only of an id known to be unused."""
+    identity = board.identity
+    issued = None
+    if (parts.vm, parts.incarnation) == (identity.name, identity.incarnation):
+        issued = board.request_ids.issued.get(parts.sequence)
+    if issued is not None and issued.state == 'unused':
+        return refuse(message.query_id, reason, RETRY_AFTER_S)
+    return _answer(message.query_id, 'unknown', reason, RETRY_AFTER_S)
+
+
 def _pass_on(
     board: blackboard.Blackboard,
     message: events.QueryArrived,
--- a/packages/core/balsamshore_core/versions.py
+++ b/packages/core/balsamshore_core/versions.py
@@ -2,7 +2,8 @@
 
 Versions only go up. Documents come from the service, read by a few of the
 nodes, and from peers, who state theirs in every message. A document that is
-refused never displaces the one in force.
+refused never displaces the one in force. A new node also asks its peers
+before it takes the service's word, which may be stale.
 """
 
 import collections.abc
@@ -19,6 +20,7 @@
 WATCHERS = 3
 WATCH_S = 10.0
 RETRY_S = 0.5
+JOIN_WAIT_S = 2.0
 CONFIRM_AGE_S = 20.0
 RECHECK_S = 1.0
 FETCH_TIMEOUT_S = 2.0
@@ -91,31 +93,73 @@
         return
     if message.source == 'service':
         section.confirmed_at = now
+        if section.joining:
+            section.candidate = offered
+            return
     if current is not None and offered.version == current.version:
         if offered.digest == current.digest:
             return
-        section.conflict = True
-        yield actions.Report(
-            'error',
-            f'two configurations have version {offered.version}: '
-            f'{current.digest[:12]} and {offered.digest[:12]}; the larger '
-            'digest is in force. Publish a higher version.',
-        )
+        yield from _note_conflict(board, current, offered.digest)
         if offered.digest < current.digest:
             return
     else:
         section.conflict = False
+    yield from _put_in_force(board, offered, message.source)
+
+
+def _note_conflict(
+    board: blackboard.Blackboard,
+    current: configuration.Configuration,
+    digest: str,
+) -> Messages:
+    if board.configuration.conflict:
+        return
+    board.configuration.conflict = True
+    yield actions.Report(
+        'error',
+        f'two configurations have version {current.version}: '
+        f'{current.digest[:12]} and {digest[:12]}; the larger digest is in '
+        'force. Publish a higher version.',
+    )
+
+
+def _put_in_force(
+    board: blackboard.Blackboard,
+    offered: configuration.Configuration,
+    source: str,
+) -> Messages:
+    section = board.configuration
     section.current = offered
+    section.joining = False
+    section.candidate = None
     yield actions.Count('config.accepted')
     yield actions.Report(
         'info',
         f'configuration {offered.version} is in force '
-        f'({offered.digest[:12]}, from {message.source})',
+        f'({offered.digest[:12]}, from {source})',
     )
     yield commands.ConfigurationAccepted(offered.version)
     yield commands.PeerNoticeWanted()
 
 
+def _end_joining(
+    board: blackboard.Blackboard, message: Any, now: float
+) -> Messages:
+    """Takes the service's document once no peer has a newer one."""
+    section = board.configuration
+    section.joining = False
+    if section.candidate is not None:
+        yield from _put_in_force(board, section.candidate, 'service')
+
+
+def _take_list(
+    board: blackboard.Blackboard, message: events.VmListRead, now: float
+) -> Messages:
+    alone = all(entry.name == board.identity.name for entry in message.vms)
+    if alone and board.configuration.joining:
+        yield from _end_joining(board, message, now)
+
+
 def _reject(
     board: blackboard.Blackboard,
     message: events.ConfigurationRead,
@@ -163,6 +207,12 @@
     current = section.current
     ours = (current.version, current.digest) if current else (0, '')
     theirs = (message.version, message.digest)
+    candidate = section.candidate
+    if candidate is not None and message.version <= candidate.version:
+        yield from _end_joining(board, message, now)
+        return
+    if current is not None and theirs[0] == ours[0] and theirs != ours:
+        yield from _note_conflict(board, current, message.digest)
     if theirs > ours and message.digest != section.rejected_digest:
         if now < section.peer_fetch_until:
             return
@@ -178,5 +228,7 @@
     events.ConfigurationChecked: _confirmed,
     events.ConfigurationUnreadable: _unreadable,
     commands.PeerVersionHeard: _hear,
+    events.VmListRead: _take_list,
     'config_check': _check,
+    'join_end': _end_joining,
 }
--- a/packages/node/balsamshore_node/api.py
+++ b/packages/node/balsamshore_node/api.py
@@ -46,6 +46,8 @@
 
     def __init__(self, runtime: node_runtime.Runtime):
         self._runtime = runtime
+        identity = runtime.board.identity
+        self._prefix = f'{identity.name}~{identity.incarnation:x}'
         self._routes: dict[
             tuple[str, str], Callable[[Scope, Receive, Send], Awaitable[None]]
         ] = {
@@ -124,7 +126,9 @@
                 else:
                     while pending.answer is None:
                         await pending.changed.wait()
-                    await self._respond(send, _describe_answer(pending.answer))
+                    await self._respond(
+                        send, _describe_answer(pending.answer, self._prefix)
+                    )
                 tasks.cancel_scope.cancel()
         finally:
             self._runtime.end_query(query_id)
@@ -152,11 +156,14 @@
                     }
                 )
         if not started:
-            await self._respond(send, _describe_answer(pending.answer))
+            await self._respond(
+                send, _describe_answer(pending.answer, self._prefix)
+            )
             return
         summary = pending.answer._replace(results={})
         covered = tuple(pending.answer.results)
-        body = _describe_answer(summary, covered).body + b'\n'
+        described = _describe_answer(summary, self._prefix, covered)
+        body = described.body + b'\n'
         await send({'type': 'http.response.body', 'body': body})
 
     async def _request_ids(
@@ -308,11 +315,20 @@
 
 
 def _describe_answer(
-    answer: actions.Answer, covered: tuple[str, ...] | None = None
+    answer: actions.Answer,
+    prefix: str,
+    covered: tuple[str, ...] | None = None,
 ) -> Response:
-    """Writes an answer; shard results are passed through as they came."""
+    """Writes an answer; shard results are passed through as they came.
+
+    Args:
+        answer: The answer.
+        prefix: Makes its query id unique among all processes.
+        covered: Shards released before; those in the answer unless given.
+    """
     explained = advice.explain(answer)
     fields: dict[str, Any] = {
+        'query': f'{prefix}~{answer.query_id}',
         'outcome': answer.outcome,
         'snapshot': answer.snapshot_id if answer.snapshot_id >= 0 else None,
         'coverage': {
--- a/packages/node/balsamshore_node/core.py
+++ b/packages/node/balsamshore_node/core.py
@@ -25,6 +25,7 @@
 from balsamshore_node import telemetry
 
 CALLER_GRACE_S = 5.0
+CUT_SHORT_GRACE_S = 0.1
 KEEP_ALIVE_S = 30.0
 BACKLOG = 1_024
 
@@ -128,13 +129,18 @@
     tasks.start_soon(_watch_signals, runtime, cut_short)
     tasks.start_soon(runtime.run_timers)
     tasks.start_soon(runtime.run_metrics)
-    tasks.start_soon(_serve_callers, config, runtime, finished)
+    server = _configure_server(config)
+    tasks.start_soon(_serve_callers, server, runtime, finished)
     loguru.logger.info('serving callers on {}', config.listen)
     await _await_either(finished, cut_short)
     await platform_readers.close()
     if cut_short.is_set() and not finished.is_set():
         held = lifecycle.count_held(runtime.board)
         loguru.logger.warning('ended at once; {} queries unanswered', held)
+        server.graceful_timeout = CUT_SHORT_GRACE_S
+        runtime.stopped.set()
+        with anyio.move_on_after(CALLER_GRACE_S):
+            await finished.wait()
         return status.ExitStatus.CUT_SHORT
     return status.ExitStatus.SUCCESS
 
@@ -150,26 +156,33 @@
         tasks.start_soon(wait, second)
 
 
-async def _serve_callers(
-    config: settings.Settings,
-    runtime: node_runtime.Runtime,
-    finished: anyio.Event,
-) -> None:
+def _configure_server(config: settings.Settings) -> hypercorn.config.Config:
     server = hypercorn.config.Config()
     server.bind = [config.listen]
     server.loglevel = 'ERROR'
     server.graceful_timeout = CALLER_GRACE_S
     server.keep_alive_timeout = KEEP_ALIVE_S
-    server.read_timeout = None
     server.include_server_header = False
     server.backlog = BACKLOG
+    return server
+
+
+async def _serve_callers(
+    server: hypercorn.config.Config,
+    runtime: node_runtime.Runtime,
+    finished: anyio.Event,
+) -> None:
     app: Any = api.Api(runtime)
     try:
         await hypercorn.asyncio.serve(
             app, server, shutdown_trigger=runtime.stopped.wait
         )
     except OSError as error:
-        loguru.logger.error('--listen {}: {}', config.listen, error)
+        loguru.logger.error(
+            '--listen {}: {}; free the port or choose another',
+            server.bind[0],
+            error,
+        )
     finished.set()
 
 
--- a/packages/standins/balsamshore_standins/backend.py
+++ b/packages/standins/balsamshore_standins/backend.py
@@ -92,6 +92,7 @@
         self._slots = anyio.Semaphore(plan.slots)
         self._queued = 0
         self._cold_until = 0.0
+        self._crashed = False
         self._streams: set[anyio.abc.SocketStream] = set()
         self._silent: set[anyio.abc.SocketStream] = set()
         self._running: dict[str, anyio.CancelScope] = {}
@@ -103,6 +104,10 @@
         """Listens, and listens again after each crash or outage."""
         host, port = self.plan.address.rsplit(':', 1)
         while True:
+            if self._crashed:
+                await anyio.sleep(self.restart_s)
+                self._crashed = False
+                self.go_up()
             await self._up.wait()
             self._down = anyio.Event()
             listener = await anyio.create_tcp_listener(
@@ -233,6 +238,7 @@
                 return self._refuse(request, key, 'deadline')
             if key in self.crash_keys:
                 self._note(request, key, 'crashed')
+                self._crashed = True
                 self.go_down()
                 return None
             await anyio.sleep(self._draw_service_time())
--- a/packages/standins/balsamshore_standins/truth.py
+++ b/packages/standins/balsamshore_standins/truth.py
@@ -91,6 +91,9 @@
     found = []
     started = [line for line in executions if line.result in STARTED]
     effective = [line for line in executions if line.result in EFFECTIVE]
+    if 'query' in entry.answer and plan.idempotent:
+        own = entry.answer['query']
+        started = [line for line in started if line.query == own]
     if entry.outcome == 'not run' and started:
         found.append(Violation('not run', f'{entry.key} ran: {started[0]}'))
     if not plan.idempotent and len(effective) > 1:
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,186 @@
+"""Every promise under arbitrary schedules; broken rules are caught."""
+
+import hypothesis
+import hypothesis.strategies as st
+import promises
+import pytest
+from balsamshore_core import addresses
+from balsamshore_core import connections
+from balsamshore_core import quarantine
+from balsamshore_core import queries
+from balsamshore_core import replicas
+from balsamshore_core import requestids
+from balsamshore_core import versions
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from((0.0, 0.003, 0.02, 0.1, 0.6)),
+        st.sampled_from(('query',) * 12 + promises.FAULTS),
+        st.integers(0, 1000),
+    ),
+    min_size=5,
+    max_size=40,
+)
+
+
+@hypothesis.settings(max_examples=40)
+@hypothesis.given(st.integers(0, 1000), STEPS)
+def test_promises_hold_under_any_schedule(seed, steps):
+    assert promises.run_schedule(seed, steps) == []
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_promises_hold_under_long_schedules(seed):
+    steps = promises.draw_steps(seed, 120)
+    assert promises.run_schedule(seed, steps) == []
+
+
+def forget_the_issuer(monkeypatch):
+    def arrive(board, message, now):
+        parts = requestids.parse_id(message.request_id)
+        current = board.configuration.current
+        target = current.classes.get(message.class_name) if current else None
+        if target and not target.idempotent and parts is None:
+            yield requestids.refuse(message.query_id, 'request_id_required')
+            return
+        yield requestids.commands.QueryCleared(message)
+
+    monkeypatch.setitem(
+        requestids.HANDLERS, requestids.events.QueryArrived, arrive
+    )
+
+
+def repeat_what_may_have_run(monkeypatch):
+    def fail(board, query, shard, reason, now):
+        yield from queries._try_again(board, query, shard, reason, True, now)
+
+    monkeypatch.setattr(queries, '_fail', fail)
+
+
+def call_everything_not_run(monkeypatch):
+    build = queries._build_answer
+
+    def build_wrongly(query, reason):
+        answer = build(query, reason)
+        if answer.outcome == 'unknown':
+            return answer._replace(outcome='not run')
+        return answer
+
+    monkeypatch.setattr(queries, '_build_answer', build_wrongly)
+
+
+def trust_every_reply(monkeypatch):
+    def replied(board, message, now):
+        found = queries._take_attempt(board, message.attempt_id)
+        if found is not None:
+            query, shard, attempt = found
+            body = message.reply.body
+            yield from queries._cover(board, query, shard, attempt, body, now)
+
+    monkeypatch.setitem(
+        queries.HANDLERS, queries.commands.AttemptReplied, replied
+    )
+
+
+def forget_lacking_shards(monkeypatch):
+    build = queries._build_answer
+
+    def build_wrongly(query, reason):
+        return build(query, reason)._replace(lacking=())
+
+    monkeypatch.setattr(queries, '_build_answer', build_wrongly)
+
+
+def claim_whole_coverage(monkeypatch):
+    monkeypatch.setattr(queries, '_coverage', lambda query: 1.0)
+
+
+def accept_older_versions(monkeypatch):
+    def read(board, message, now):
+        result = versions.configuration.parse_document(message.document)
+        if result.is_ok():
+            board.configuration.current = result.ok
+            yield versions.commands.ConfigurationAccepted(result.ok.version)
+
+    monkeypatch.setitem(
+        versions.HANDLERS, versions.events.ConfigurationRead, read
+    )
+
+
+def take_the_whole_limit(monkeypatch):
+    monkeypatch.setattr(
+        connections, 'compute_share', lambda limit, fleet: limit
+    )
+    monkeypatch.setattr(connections, 'WARM_CONNECTIONS', 20)
+    monkeypatch.setattr(connections, 'MAX_OPENING_PER_SERVER', 20)
+
+
+def never_stop_a_fingerprint(monkeypatch):
+    monkeypatch.setattr(quarantine, 'count_losses', lambda *_: 0)
+
+
+def lose_a_lost_attempt(monkeypatch):
+    def lost(board, message, now):
+        yield from ()
+
+    monkeypatch.setitem(queries.HANDLERS, queries.commands.AttemptLost, lost)
+    monkeypatch.setitem(queries.HANDLERS, 'query_deadline', lambda *_: iter(()))
+
+
+MUTATIONS = {
+    forget_the_issuer: 'at most once',
+    repeat_what_may_have_run: 'at most once',
+    call_everything_not_run: 'not run',
+    trust_every_reply: 'mixed',
+    forget_lacking_shards: 'coverage',
+    claim_whole_coverage: 'coverage',
+    accept_older_versions: 'version went back',
+    take_the_whole_limit: 'connections',
+    never_stop_a_fingerprint: 'crash',
+    lose_a_lost_attempt: 'no answer',
+}
+FAULTS_FOR = {
+    never_stop_a_fingerprint: ('poison',),
+    trust_every_reply: ('cross', 'publish', 'drop_snapshot'),
+}
+
+
+@pytest.mark.parametrize('mutate', MUTATIONS, ids=lambda each: each.__name__)
+def test_a_broken_rule_is_caught(mutate, monkeypatch):
+    mutate(monkeypatch)
+    found = []
+    for seed in range(25):
+        faults = FAULTS_FOR.get(mutate, promises.FAULTS)
+        steps = promises.draw_steps(seed, 60, faults)
+        found += promises.run_schedule(seed, steps)
+        if any(text.startswith(MUTATIONS[mutate]) for text in found):
+            return
+    pytest.fail(f'not caught; other violations: {found[:3]}')
+
+
+def test_a_leaving_node_is_never_named():
+    import small
+
+    world, nodes = small.start_world(nodes=3, settle_s=4.0)
+    world.feed(nodes[0], promises_stop())
+    world.run(1.0)
+    for node in nodes:
+        for caller in range(50):
+            answer = addresses.answer_addresses(
+                node.board, str(caller), 'd1', 10.0
+            )
+            assert 'a:1' not in answer.addresses
+            assert answer.addresses
+
+
+def promises_stop():
+    return requestids.events.StopRequested()
+
+
+def test_leaving_servers_are_not_usable():
+    import small
+
+    world, (node,) = small.start_world()
+    world.servers['one-0-0'].draining = True
+    world.run(4.0)
+    assert not replicas.is_usable(node.board, 'one-0-0', world.now)
