Cancel losers even when no connection is free, measure slopes

Cause: the hang-up scenario saw 'ran' in the ledger: a server with a single connection was never told to cancel. 'fire' printed an empty line into the JSON-lines log. At 64 nodes a share of 0 raised IndexError. The fault proxy's concurrent datagram sends killed its process. Change: cancels wait for the next free connection, which is opened within the share; nothing but log lines is written; a share of 0 holds no connection; the proxy sends one datagram at a time.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind docs/CAPACITY.md and docs/DESIGN.md."""
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,267 @@
+"""Measures the slopes that docs/CAPACITY.md is worked out from.
+
+`python -m bench.slopes` prints one JSON line for each measurement. Nodes
+are engines in one process, in virtual time; their processor time is the
+time spent in the engine, and in the codec for the datagrams they send.
+"""
+
+import json
+import sys
+import time
+import tracemalloc
+from typing import Any
+
+from balsamshore_core import actions
+from balsamshore_core import configuration
+from balsamshore_node import api
+from balsamshore_standins import fakes
+from balsamshore_wire import codec
+from balsamshore_wire import keys
+
+FLEETS = (8, 64, 256)
+CLUSTERS = (10, 100, 500, 1900)
+REPLICA_COUNTS = (90, 600, 2400)
+SETTLE_S = 10.0
+WINDOW_S = 20.0
+QUERIES = 40
+KEY = keys.KeyRing((b'k' * 16,))
+
+
+def build_document(
+    version: int, shards: int, replicas: int, connections: int = 30
+) -> bytes:
+    """Builds a document with one index of so many shards and replicas."""
+    names = [f'server-{number}' for number in range(max(shards, replicas))]
+    document = {
+        'version': version,
+        'backend_servers': {
+            name: {
+                'address': f'10.{number // 62500}.{number // 250 % 250}'
+                f'.{number % 250 + 1}:80',
+                'failure_domain': f'd{number % 7}',
+                'slots': 3,
+                'connections': connections,
+            }
+            for number, name in enumerate(names)
+        },
+        'indexes': {
+            'main': {
+                'snapshots': [
+                    {
+                        'id': 1,
+                        'shards': {
+                            f's{shard}': {
+                                'records': 1000,
+                                'replicas': names[shard::shards],
+                            }
+                            for shard in range(shards)
+                        },
+                    }
+                ]
+            }
+        },
+        'classes': {
+            'search': {
+                'index': 'main',
+                'deadline_ms': 500,
+                'quantile': 0.99,
+                'coverage_floor': 1.0,
+                'idempotent': True,
+            }
+        },
+    }
+    return json.dumps(document).encode()
+
+
+def measure_queries(shards: int) -> dict[str, Any]:
+    """Engine time for each sub-request of a query over so many shards."""
+    world = fakes.World(1, build_document(1, shards, shards))
+    node = world.add_node('a')
+    world.run(SETTLE_S)
+    before = node.engine_s
+    started = world.now
+    for number in range(QUERIES):
+        world.query(node, 'search', b'"%d"' % number)
+        world.run(0.2)
+    spent = node.engine_s - before - measure_idle(world, node, started)
+    answered = sum(
+        answer.outcome == 'complete' for answer in node.answers.values()
+    )
+    return {
+        'measure': 'query',
+        'shards': shards,
+        'complete': answered,
+        'engine_us_per_sub_request': round(spent / QUERIES / shards * 1e6, 1),
+    }
+
+
+def measure_idle(
+    world: fakes.World, node: fakes.FakeNode, started: float
+) -> float:
+    """Engine time that an idle node spends in as long a window."""
+    window_s = world.now - started
+    before = node.engine_s
+    world.run(window_s)
+    return node.engine_s - before
+
+
+def measure_fleet(count: int) -> dict[str, Any]:
+    """Control cost of a node in a fleet of so many, without queries."""
+    world = fakes.World(1, build_document(1, 10, 30))
+    for number in range(count):
+        world.add_node(f'vm{number}', f'd{number % 7}')
+    world.run(SETTLE_S)
+    nodes = list(world.nodes.values())
+    world.keep_datagrams = True
+    before = sum(node.engine_s for node in nodes)
+    calls = world.config_calls
+    world.run(WINDOW_S)
+    spent = sum(node.engine_s for node in nodes) - before
+    messages = [message for node in nodes for message in node.sent]
+    started = time.perf_counter()
+    sealed = [keys.seal(KEY, codec.encode_message(each)) for each in messages]
+    for payload in sealed:
+        codec.decode_message(keys.unseal(KEY, payload))
+    codec_s = time.perf_counter() - started
+    world.keep_datagrams = False
+    per_node = count * WINDOW_S
+    alive = [
+        sum(
+            member.update.status == 'alive'
+            for member in node.board.members.members.values()
+        )
+        for node in nodes
+    ]
+    return {
+        'measure': 'fleet',
+        'nodes': count,
+        'fewest_members_seen': min(alive),
+        'datagrams_per_s': round(len(messages) / per_node, 2),
+        'sent_bytes_per_s': round(sum(map(len, sealed)) / per_node),
+        'engine_share_of_core': round(spent / per_node, 5),
+        'codec_share_of_core': round(codec_s / per_node, 5),
+        'config_calls_per_s': round((world.config_calls - calls) / WINDOW_S, 2),
+    }
+
+
+def measure_spread(count: int) -> dict[str, Any]:
+    """Time until a new version is in force on every node."""
+    world = fakes.World(2, build_document(1, 10, 30))
+    for number in range(count):
+        world.add_node(f'vm{number}', f'd{number % 7}')
+    world.run(SETTLE_S)
+    times = []
+    for version in range(2, 7):
+        world.document = build_document(version, 10, 30)
+        started = world.now
+        while not _all_have(world, version) and world.now - started < 30:
+            world.run(0.05)
+        times.append(world.now - started)
+        world.run(3.0)
+    return {
+        'measure': 'spread',
+        'nodes': count,
+        'longest_s': round(max(times), 2),
+        'shortest_s': round(min(times), 2),
+    }
+
+
+def _all_have(world: fakes.World, version: int) -> bool:
+    currents = (
+        node.board.configuration.current for node in world.nodes.values()
+    )
+    return all(
+        current is not None and current.version == version
+        for current in currents
+    )
+
+
+def measure_churn(count: int, replaced: int) -> dict[str, Any]:
+    """Members still remembered after replacements, and bytes meanwhile."""
+    world = fakes.World(3, build_document(1, 10, 30))
+    for number in range(count):
+        world.add_node(f'vm{number}', f'd{number % 7}')
+    world.run(SETTLE_S)
+    world.keep_datagrams = True
+    for number in range(replaced):
+        world.kill(f'vm{number}')
+        world.vms = [vm for vm in world.vms if vm.name != f'vm{number}']
+        world.add_node(f'new{number}')
+        world.run(1.0)
+    nodes = list(world.nodes.values())
+    messages = [message for node in nodes for message in node.sent]
+    size = sum(
+        len(keys.seal(KEY, codec.encode_message(each))) for each in messages
+    )
+    world.keep_datagrams = False
+    world.run(90.0)
+    known = [len(node.board.members.members) for node in nodes]
+    return {
+        'measure': 'churn',
+        'nodes': count,
+        'replaced_per_s': 1,
+        'sent_bytes_per_s': round(size / count / replaced),
+        'members_known': max(known),
+    }
+
+
+def measure_document(replicas: int) -> dict[str, Any]:
+    """Size, check time and memory of a document with so many replicas."""
+    shards = max(10, replicas // 3)
+    document = build_document(1, shards, replicas)
+    started = time.perf_counter()
+    configuration.parse_document(document)
+    parse_s = time.perf_counter() - started
+    tracemalloc.start()
+    world = fakes.World(1, document)
+    world.add_node('a')
+    world.run(3.0)
+    memory, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    connections = len(world.nodes['a'].board.connections.connections)
+    return {
+        'measure': 'document',
+        'replicas': replicas,
+        'bytes': len(document),
+        'check_ms': round(parse_s * 1000, 1),
+        'board_mb': round(memory / 1e6, 2),
+        'connections': connections,
+    }
+
+
+def measure_merge(shards: int) -> dict[str, Any]:
+    """Time to write the answer of so many shards of 200 bytes each."""
+    results = {
+        f's{number}': b'"' + b'x' * 198 + b'"' for number in range(shards)
+    }
+    answer = actions.Answer(1, 'complete', '', 1, results, (), 1.0, 0.0)
+    rounds = 20
+    started = time.perf_counter()
+    for _ in range(rounds):
+        body = api.describe_answer(answer, 'vm~1').body
+    spent = (time.perf_counter() - started) / rounds
+    return {
+        'measure': 'merge',
+        'shards': shards,
+        'bytes': len(body),
+        'us_per_shard': round(spent / shards * 1e6, 2),
+    }
+
+
+def main() -> None:
+    """Runs every measurement, one line each as it is done."""
+    for measure, sizes in (
+        (measure_queries, CLUSTERS),
+        (measure_merge, CLUSTERS),
+        (measure_document, REPLICA_COUNTS),
+        (measure_fleet, FLEETS),
+        (measure_spread, FLEETS),
+    ):
+        for size in sizes:
+            sys.stdout.write(json.dumps(measure(size)) + '\n')
+            sys.stdout.flush()
+    sys.stdout.write(json.dumps(measure_churn(64, 30)) + '\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/cli/balsamshore_cli/core.py
+++ b/packages/cli/balsamshore_cli/core.py
@@ -38,5 +38,5 @@
     return status.ExitStatus.USAGE
 
 
-def _no_output(value: Any) -> str:
-    return ''
+def _no_output(value: Any) -> None:
+    """Keeps `fire` from printing what a command returns."""
--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -124,6 +124,7 @@
         reopen_at: No connection is opened before this time.
         failures: Consecutive failures; they lengthen the wait.
         reserved: Whether a suspect runs alone on the server.
+        cancels: Dropped attempts that the server has not been told of.
     """
 
     server: str
@@ -136,6 +137,7 @@
     reopen_at: float = 0.0
     failures: int = 0
     reserved: bool = False
+    cancels: list[int] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/balsamshore_core/connections.py
+++ b/packages/core/balsamshore_core/connections.py
@@ -281,8 +281,23 @@
         now - connection.sent_at,
         False,
     )
-    if message.cancel and pool.idle:
-        yield actions.SendCancel(pool.idle[-1], message.attempt_id)
+    if message.cancel:
+        pool.cancels.append(message.attempt_id)
+        yield from _send_cancels(board, pool)
+        if pool.cancels:
+            yield from _open(board, pool, len(pool.members) + 1, now)
+
+
+def _send_cancels(
+    board: blackboard.Blackboard, pool: blackboard.ServerPool
+) -> Messages:
+    """Sends the cancels that wait, if a connection is free for them."""
+    if not pool.idle:
+        return
+    waiting, pool.cancels = pool.cancels, []
+    for attempt_id in waiting:
+        if attempt_id in board.connections.by_attempt:
+            yield actions.SendCancel(pool.idle[-1], attempt_id)
 
 
 def _opened(
@@ -340,6 +355,7 @@
         yield from _close(board, connection)
         return
     pool.idle.append(connection.connection_id)
+    yield from _send_cancels(board, pool)
     yield from _serve_waiting(board, pool, now)
 
 
@@ -629,7 +645,8 @@
     the server is not lost to this node for long.
     """
     ghosts = [at for at in pool.ghosts if now - at < GHOST_HOLD_S]
-    if len(ghosts) >= pool.share and now - ghosts[0] > GHOST_MIN_HOLD_S:
+    full = ghosts and len(ghosts) >= pool.share
+    if full and now - ghosts[0] > GHOST_MIN_HOLD_S:
         ghosts = ghosts[1 - pool.share :] if pool.share > 1 else []
     pool.ghosts = ghosts
     return len(ghosts)
--- a/packages/node/balsamshore_node/api.py
+++ b/packages/node/balsamshore_node/api.py
@@ -87,8 +87,12 @@
         )
 
     async def _respond(self, send: Send, response: Response) -> None:
+        length = (b'content-length', str(len(response.body)).encode())
         await self._start_response(
-            send, response.status, response.content_type, response.headers
+            send,
+            response.status,
+            response.content_type,
+            (length, *response.headers),
         )
         await send({'type': 'http.response.body', 'body': response.body})
 
@@ -127,7 +131,7 @@
                     while pending.answer is None:
                         await pending.changed.wait()
                     await self._respond(
-                        send, _describe_answer(pending.answer, self._prefix)
+                        send, describe_answer(pending.answer, self._prefix)
                     )
                 tasks.cancel_scope.cancel()
         finally:
@@ -157,12 +161,12 @@
                 )
         if not started:
             await self._respond(
-                send, _describe_answer(pending.answer, self._prefix)
+                send, describe_answer(pending.answer, self._prefix)
             )
             return
         summary = pending.answer._replace(results={})
         covered = tuple(pending.answer.results)
-        described = _describe_answer(summary, self._prefix, covered)
+        described = describe_answer(summary, self._prefix, covered)
         body = described.body + b'\n'
         await send({'type': 'http.response.body', 'body': body})
 
@@ -314,7 +318,7 @@
     )
 
 
-def _describe_answer(
+def describe_answer(
     answer: actions.Answer,
     prefix: str,
     covered: tuple[str, ...] | None = None,
--- a/packages/node/balsamshore_node/core.py
+++ b/packages/node/balsamshore_node/core.py
@@ -58,8 +58,8 @@
     return flags
 
 
-def _no_output(value: Any) -> str:
-    return ''
+def _no_output(value: Any) -> None:
+    """Keeps `fire` from printing what a command returns."""
 
 
 async def _serve(
--- a/packages/standins/balsamshore_standins/fakes.py
+++ b/packages/standins/balsamshore_standins/fakes.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import random
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -86,8 +87,9 @@
         self.silent: set[int] = set()
         self.written: set[int] = set()
         self.reports: list[actions.Report] = []
-        self.sent_datagrams = 0
+        self.sent: list[events.PeerMessage] = []
         self.steps = 0
+        self.engine_s = 0.0
         self.forwarded: dict[int, tuple[FakeNode, int]] = {}
         self.armed_at: float | None = None
 
@@ -111,6 +113,7 @@
         self.config_calls = 0
         self.blocked: set[tuple[str, str]] = set()
         self.loss_ratio = 0.0
+        self.keep_datagrams = False
         self.peak_connections: dict[str, int] = {}
         self._rng = random.Random(seed)
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -206,7 +209,10 @@
             self.at(delay, lambda: self.feed(node, event))
             return
         node.steps += 1
-        self._perform(node, node.engine.step(event, self.now))
+        started = time.perf_counter()
+        output = node.engine.step(event, self.now)
+        node.engine_s += time.perf_counter() - started
+        self._perform(node, output)
         self._arm(node)
 
     def _restart(self, name: str) -> None:
@@ -370,7 +376,8 @@
     def _datagram(
         self, node: FakeNode, action: actions.SendPeerMessage
     ) -> None:
-        node.sent_datagrams += 1
+        if self.keep_datagrams:
+            node.sent.append(action.message)
         target = action.address.split(':')[0]
         if (node.name, target) in self.blocked:
             return
--- a/packages/standins/balsamshore_standins/proxy.py
+++ b/packages/standins/balsamshore_standins/proxy.py
@@ -39,6 +39,7 @@
         self._silent: set[anyio.abc.SocketStream] = set()
         self._streams: set[anyio.abc.SocketStream] = set()
         self._flows: dict[tuple[str, int], anyio.abc.UDPSocket] = {}
+        self._sending = anyio.Lock()
         self._drop_state = seed
 
     def apply(self, rule: Rule) -> None:
@@ -123,7 +124,8 @@
 
     async def _pass(self, flow: anyio.abc.UDPSocket, payload: bytes) -> None:
         await anyio.sleep(self._rule.delay_s)
-        await flow.sendto(payload, *self._target)
+        async with self._sending:
+            await flow.sendto(payload, *self._target)
 
     async def _answer(
         self,
@@ -135,7 +137,8 @@
             if sender[0] in self._rule.blocked or self._draw_drop():
                 continue
             await anyio.sleep(self._rule.delay_s)
-            await outside.sendto(payload, *sender)
+            async with self._sending:
+                await outside.sendto(payload, *sender)
 
     def _draw_drop(self) -> bool:
         self._drop_state = (self._drop_state * 1103515245 + 12345) % 2**31
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,3 +6,5 @@
     'steady', derandomize=True, database=None, deadline=None
 )
 hypothesis.settings.load_profile('steady')
+
+pytest_plugins = ['steps']
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,15 +11,13 @@
 from balsamshore_cli import core as cli
 from balsamshore_node import environment
 from pytest_bdd import parsers
-from test_features import *  # noqa: F403
-from test_features import Scene
 
 pytest_bdd.scenarios('callers.feature')
 
 ANSWER_FIELDS = {'class': 'household-query', 'request': {'key': 'x'}}
 
 
-def send_raw(scene: Scene, body: bytes):
+def send_raw(scene, body: bytes):
     url = f'http://{scene.vms[0].address}/v1/query'
     return httpx.post(url, content=body, timeout=10.0, trust_env=False)
 
@@ -33,9 +31,11 @@
     with socket.create_connection((host, int(port))) as slow:
         slow.sendall(head.encode())
         slow.settimeout(10.0)
-        text = b''
-        while b'\r\n\r\n' not in text or not text.endswith(b'}'):
-            text += slow.recv(65536)
+        text = slow.recv(65536)
+        while not text.endswith(b'}'):
+            piece = slow.recv(65536)
+            assert piece, text
+            text += piece
     head_text, _, body = text.partition(b'\r\n\r\n')
     return httpx.Response(int(head_text.split()[1]), content=body)
 
