--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -154,7 +154,7 @@
 
 @dataclasses.dataclass(slots=True)
 class ConnectionSection:
-    """Writer: `connections`."""
+    """Writers: the modules of `connections`, one controller."""
 
     connections: dict[int, Connection] = dataclasses.field(default_factory=dict)
     pools: dict[str, ServerPool] = dataclasses.field(default_factory=dict)
@@ -216,7 +216,7 @@
 
 @dataclasses.dataclass(slots=True)
 class QuerySection:
-    """Writer: `queries`."""
+    """Writers: `queries` and `hedges`, one controller."""
 
     queries: dict[int, Query] = dataclasses.field(default_factory=dict)
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
--- a/packages/core/balsamshore_core/commands.py
+++ b/packages/core/balsamshore_core/commands.py
@@ -161,6 +161,12 @@
     elapsed_s: float
 
 
+class ConnectionIdle(NamedTuple):
+    """A connection to a server has become free."""
+
+    server: str
+
+
 class ServerLost(NamedTuple):
     """A server cut connections; `running` are the attempts it had."""
 
--- /dev/null
+++ b/packages/core/balsamshore_core/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers: pooling, dispatch, silence."""
--- /dev/null
+++ b/packages/core/balsamshore_core/connections/dispatch.py
@@ -0,0 +1,249 @@
+"""Which connection carries which attempt, and what waits for one."""
+
+import collections
+import collections.abc
+from typing import Any
+
+from balsamshore_core import actions
+from balsamshore_core import blackboard
+from balsamshore_core import commands
+from balsamshore_core import events
+from balsamshore_core import replicas
+from balsamshore_core.connections import pooling
+from balsamshore_core.connections import silence
+
+SILENCE_FACTOR = 3.0
+CAREFUL_AGE_S = 0.5
+MAX_WAITING_PER_SHARD = 512
+MIN_SEND_S = 0.002
+SENT = 'sent'
+CHECKING = 'checking'
+NO_ROOM = 'no room'
+
+Messages = collections.abc.Iterator[Any]
+WaitKey = tuple[str, str]
+
+
+def _want(
+    board: blackboard.Blackboard, message: commands.AttemptWanted, now: float
+) -> Messages:
+    pools = board.connections.pools
+    known = tuple(name for name in message.servers if name in pools)
+    offered = yield from _offer(board, message, now)
+    if offered == SENT:
+        return
+    if not any(replicas.is_holder(board, name, now) for name in known):
+        yield commands.AttemptRejected(message.attempt_id, 'no_replica')
+        return
+    room = board.connections.waiting
+    queue = room.by_shard.setdefault(
+        (message.index_name, message.shard), collections.deque()
+    )
+    if len(queue) >= MAX_WAITING_PER_SHARD:
+        yield commands.AttemptRejected(message.attempt_id, 'queue_full')
+        return
+    queue.append(message.attempt_id)
+    room.wanted[message.attempt_id] = message
+    if offered == NO_ROOM:
+        for name in known:
+            yield from pooling.grow(board, pools[name], now)
+    yield commands.StartTimer(
+        now + replicas.SHED_PAUSE_S,
+        events.TimerDue('wait_check', message.attempt_id),
+    )
+
+
+def _offer(
+    board: blackboard.Blackboard, wanted: commands.AttemptWanted, now: float
+) -> collections.abc.Generator[Any, None, str]:
+    """Sends an attempt if a server has room; returns what came of it."""
+    pools = board.connections.pools
+    known = [name for name in wanted.servers if name in pools]
+    for name in known:
+        yield from silence.check_doubtful(board, pools[name], now)
+    ready = [name for name in known if _has_room(pools[name], wanted.alone)]
+    chosen = replicas.choose(board, ready, now)
+    if chosen is None:
+        return NO_ROOM
+    pool = pools[chosen]
+    connection = board.connections.connections[pool.idle[-1]]
+    if wanted.careful and now - connection.progress_at > CAREFUL_AGE_S:
+        pool.idle.pop()
+        yield from pooling.check_health(board, connection, now)
+        return CHECKING
+    yield from _send(board, pool, wanted, now)
+    return SENT
+
+
+def _has_room(pool: blackboard.ServerPool, alone: bool) -> bool:
+    if not pool.idle or pool.reserved:
+        return False
+    return not alone or len(pool.idle) == len(pool.members) - pool.opening
+
+
+def _send(
+    board: blackboard.Blackboard,
+    pool: blackboard.ServerPool,
+    wanted: commands.AttemptWanted,
+    now: float,
+) -> Messages:
+    connection_id = pool.idle.pop()
+    connection = board.connections.connections[connection_id]
+    connection.state = 'busy'
+    connection.attempt_id = wanted.attempt_id
+    connection.sent_at = now
+    connection.index = wanted.index_name
+    connection.shard = wanted.shard
+    connection.dropped_at = 0.0
+    connection.doubted = False
+    pool.reserved = wanted.alone
+    board.connections.by_attempt[wanted.attempt_id] = connection_id
+    yield actions.SendAttempt(
+        connection_id,
+        wanted.attempt_id,
+        wanted.query_id,
+        wanted.index_name,
+        wanted.shard,
+        wanted.snapshot_id,
+        max(MIN_SEND_S, wanted.deadline_at - now),
+        pool.server,
+        wanted.kind,
+        wanted.body,
+    )
+    yield commands.AttemptSent(wanted.attempt_id, pool.server)
+    delay = replicas.hedge_delay(board, wanted.index_name, wanted.shard)
+    yield commands.StartTimer(
+        now + max(silence.SILENCE_MIN_S, SILENCE_FACTOR * delay),
+        events.TimerDue('silence', connection_id, wanted.attempt_id),
+    )
+
+
+def _check_waiting(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    wanted = board.connections.waiting.wanted.get(int(message.key))
+    if wanted is None:
+        return
+    pools = board.connections.pools
+    offered = yield from _offer(board, wanted, now)
+    if offered == SENT:
+        _forget_waiting(board, wanted.attempt_id)
+    elif now >= wanted.deadline_at or not any(
+        replicas.is_holder(board, name, now) for name in wanted.servers
+    ):
+        _forget_waiting(board, wanted.attempt_id)
+        reason = 'timeout' if now >= wanted.deadline_at else 'no_replica'
+        yield commands.AttemptRejected(wanted.attempt_id, reason)
+    else:
+        for name in wanted.servers:
+            if name in pools and offered == NO_ROOM:
+                yield from pooling.grow(board, pools[name], now)
+        yield commands.StartTimer(
+            now + replicas.SHED_PAUSE_S,
+            events.TimerDue('wait_check', wanted.attempt_id),
+        )
+
+
+def _forget_waiting(board: blackboard.Blackboard, attempt_id: int) -> None:
+    room = board.connections.waiting
+    wanted = room.wanted.pop(attempt_id, None)
+    if wanted is not None:
+        queue = room.by_shard[(wanted.index_name, wanted.shard)]
+        queue.remove(attempt_id)
+        if not queue:
+            del room.by_shard[(wanted.index_name, wanted.shard)]
+
+
+def _idle(
+    board: blackboard.Blackboard, message: commands.ConnectionIdle, now: float
+) -> Messages:
+    pool = board.connections.pools.get(message.server)
+    if pool is not None:
+        yield from _send_cancels(board, pool)
+        yield from _serve_waiting(board, pool, now)
+
+
+def _serve_waiting(
+    board: blackboard.Blackboard, pool: blackboard.ServerPool, now: float
+) -> Messages:
+    room = board.connections.waiting
+    if not room.wanted or not replicas.is_usable(board, pool.server, now):
+        return
+    replica = board.replicas.replicas[pool.server]
+    for key in _shards_of(board, replica.server.name):
+        for attempt_id in tuple(room.by_shard.get(key, ())):
+            wanted = room.wanted[attempt_id]
+            fits = pool.server in wanted.servers
+            if fits and _has_room(pool, wanted.alone):
+                _forget_waiting(board, attempt_id)
+                yield from _send(board, pool, wanted, now)
+                return
+
+
+def _shards_of(board: blackboard.Blackboard, server: str) -> list[WaitKey]:
+    room = board.connections.waiting
+    return [
+        key
+        for key, queue in room.by_shard.items()
+        if server in room.wanted[queue[0]].servers
+    ]
+
+
+def _drop(
+    board: blackboard.Blackboard, message: commands.AttemptDropped, now: float
+) -> Messages:
+    _forget_waiting(board, message.attempt_id)
+    section = board.connections
+    connection_id = section.by_attempt.get(message.attempt_id)
+    if connection_id is None:
+        return
+    connection = section.connections[connection_id]
+    pool = section.pools[connection.server]
+    connection.dropped_at = now
+    yield commands.AttemptTimed(
+        connection.index,
+        connection.shard,
+        connection.server,
+        now - connection.sent_at,
+        False,
+    )
+    if message.cancel:
+        pool.cancels.append(message.attempt_id)
+        yield from _send_cancels(board, pool)
+        if pool.cancels:
+            yield from pooling.open_more(
+                board, pool, len(pool.members) + 1, now
+            )
+
+
+def _send_cancels(
+    board: blackboard.Blackboard, pool: blackboard.ServerPool
+) -> Messages:
+    """Sends the cancels that wait, if a connection is free for them."""
+    if not pool.idle:
+        return
+    waiting, pool.cancels = pool.cancels, []
+    for attempt_id in waiting:
+        if attempt_id in board.connections.by_attempt:
+            yield actions.SendCancel(pool.idle[-1], attempt_id)
+
+
+def _leaving(
+    board: blackboard.Blackboard, message: commands.ServerLeaving, now: float
+) -> Messages:
+    """Moves attempts that wait for a leaving server alone elsewhere."""
+    room = board.connections.waiting
+    for attempt_id in tuple(room.wanted):
+        if message.server in room.wanted[attempt_id].servers:
+            yield commands.StartTimer(
+                now, events.TimerDue('wait_check', attempt_id)
+            )
+
+
+HANDLERS = {
+    commands.AttemptWanted: _want,
+    commands.AttemptDropped: _drop,
+    commands.ConnectionIdle: _idle,
+    commands.ServerLeaving: _leaving,
+    'wait_check': _check_waiting,
+}
--- /dev/null
+++ b/packages/core/balsamshore_core/connections/pooling.py
@@ -0,0 +1,377 @@
+"""Connections to backend servers: share, warmth, life cycle.
+
+A connection's life cycle:
+
+    opening -> checking -> idle -> busy -> idle
+    idle -> checking -> idle        (health read)
+    any -> closed
+"""
+
+import collections.abc
+from typing import Any
+
+from balsamshore_core import actions
+from balsamshore_core import blackboard
+from balsamshore_core import commands
+from balsamshore_core import events
+
+OVERLAP_RESERVE_VMS = 2
+FLEET_PEAK_HOLD_S = 60.0
+WARM_CONNECTIONS = 1
+SPARE_CONNECTIONS = 1
+REOPEN_BASE_S = 0.2
+REOPEN_MAX_S = 1.5
+MAX_OPENING_PER_SERVER = 2
+GHOST_HOLD_S = 30.0
+GHOST_MIN_HOLD_S = 5.0
+CHECK_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 1.0
+HEALTH_SWEEP_S = 0.1
+HEALTH_AGE_S = 2.0
+MAX_HEALTH_CHECKS_PER_SWEEP = 4
+
+Messages = collections.abc.Iterator[Any]
+
+
+def compute_share(limit: int, fleet: int) -> int:
+    """Connections that one of `fleet` VMs may hold to one server.
+
+    The sum over the fleet, and over OVERLAP_RESERVE_VMS that start while
+    others leave, never exceeds `limit`. Zero means that the fleet is too
+    large for each VM to hold one.
+    """
+    return limit // (fleet + OVERLAP_RESERVE_VMS)
+
+
+def begin(board: blackboard.Blackboard, now: float) -> Messages:
+    """Starts the sweep that reads health and refills pools."""
+    yield commands.StartTimer(
+        now + HEALTH_SWEEP_S, events.TimerDue('health_sweep', 0)
+    )
+
+
+def _take_configuration(
+    board: blackboard.Blackboard, message: Any, now: float
+) -> Messages:
+    section = board.connections
+    current = board.configuration.current
+    if current is None:
+        return
+    _note_fleet(board, now)
+    for name, server in current.backend_servers.items():
+        share = compute_share(server.connections, section.fleet_peak)
+        pool = section.pools.get(name)
+        if pool is not None and pool.address != server.address:
+            yield from _close_pool(board, pool, now)
+            pool = None
+        if pool is None:
+            pool = blackboard.ServerPool(name, server.address, share)
+            section.pools[name] = pool
+        pool.share = share
+        yield from _shrink(board, pool)
+        yield from open_more(board, pool, WARM_CONNECTIONS, now)
+    for name in set(section.pools) - set(current.backend_servers):
+        yield from _close_pool(board, section.pools[name], now)
+
+
+def _note_fleet(board: blackboard.Blackboard, now: float) -> None:
+    section = board.connections
+    alive = sum(
+        member.update.status in ('alive', 'suspect', 'leaving')
+        for member in board.members.members.values()
+    )
+    fleet = max(1, alive, len(board.members.listed))
+    if fleet >= section.fleet_peak or now >= section.fleet_peak_until:
+        section.fleet_peak = fleet
+        section.fleet_peak_until = now + FLEET_PEAK_HOLD_S
+
+
+def _opened(
+    board: blackboard.Blackboard, message: events.ConnectionOpened, now: float
+) -> Messages:
+    section = board.connections
+    connection = section.connections.get(message.connection_id)
+    if connection is None:
+        yield actions.CloseConnection(message.connection_id)
+        return
+    pool = section.pools[connection.server]
+    pool.opening -= 1
+    connection.state = 'idle'
+    connection.opened_at = now
+    yield from check_health(board, connection, now)
+
+
+def check_health(
+    board: blackboard.Blackboard,
+    connection: blackboard.Connection,
+    now: float,
+) -> Messages:
+    """Reads a server's health on a connection that is not in use."""
+    connection.state = 'checking'
+    connection.sent_at = now
+    yield actions.SendHealthCheck(connection.connection_id)
+    yield commands.StartTimer(
+        now + CHECK_TIMEOUT_S,
+        events.TimerDue('check', connection.connection_id),
+    )
+
+
+def _health_arrived(
+    board: blackboard.Blackboard, message: events.HealthArrived, now: float
+) -> Messages:
+    connection = board.connections.connections.get(message.connection_id)
+    if connection is None:
+        return
+    if message.draining:
+        yield commands.ServerLeaving(connection.server)
+    board.connections.pools[connection.server].failures = 0
+    yield commands.ServerReturned(connection.server)
+    yield from _become_idle(board, connection, now)
+
+
+def _become_idle(
+    board: blackboard.Blackboard,
+    connection: blackboard.Connection,
+    now: float,
+) -> Messages:
+    pool = board.connections.pools[connection.server]
+    connection.state = 'idle'
+    connection.attempt_id = 0
+    connection.progress_at = now
+    if len(pool.members) > pool.share:
+        yield from close(board, connection)
+        return
+    pool.idle.append(connection.connection_id)
+    yield commands.ConnectionIdle(pool.server)
+
+
+def _replied(
+    board: blackboard.Blackboard, message: events.ReplyArrived, now: float
+) -> Messages:
+    section = board.connections
+    connection = section.connections.get(message.connection_id)
+    if connection is None or connection.state != 'busy':
+        return
+    attempt_id = connection.attempt_id
+    pool = section.pools[connection.server]
+    pool.reserved = False
+    del section.by_attempt[attempt_id]
+    if message.attempt_id != attempt_id:
+        yield actions.Count('crossed_replies')
+        yield commands.AttemptLost(
+            attempt_id, connection.server, True, 'protocol'
+        )
+        yield from close(board, connection)
+        return
+    elapsed = now - connection.sent_at
+    if not connection.dropped_at and not message.refusal:
+        yield commands.AttemptTimed(
+            connection.index,
+            connection.shard,
+            connection.server,
+            elapsed,
+            True,
+        )
+    yield commands.AttemptReplied(
+        attempt_id, connection.server, elapsed, message
+    )
+    yield from _become_idle(board, connection, now)
+
+
+def _lost(
+    board: blackboard.Blackboard, message: events.ConnectionLost, now: float
+) -> Messages:
+    section = board.connections
+    connection = section.connections.get(message.connection_id)
+    if connection is None:
+        return
+    pool = section.pools[connection.server]
+    attempt_id = connection.attempt_id
+    busy = connection.state == 'busy'
+    if message.cause != 'closed' or busy:
+        pool.failures += 1
+        delay = min(REOPEN_MAX_S, REOPEN_BASE_S * 2 ** min(pool.failures, 8))
+        pool.reopen_at = now + delay * (0.5 + board.rng.random() / 2)
+    _remove(board, connection)
+    if busy and message.written:
+        running = (attempt_id,) + tuple(
+            section.connections[other].attempt_id
+            for other in sorted(pool.members)
+            if section.connections[other].state == 'busy'
+        )
+        yield commands.ServerLost(connection.server, running)
+    elif message.cause in ('refused', 'reset'):
+        yield commands.ServerLost(connection.server, ())
+    if busy:
+        yield commands.AttemptLost(
+            attempt_id, connection.server, message.written, message.cause
+        )
+
+
+def _connect_overdue(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    connection = board.connections.connections.get(int(message.key))
+    if connection is None or connection.state != 'opening':
+        return
+    yield actions.CloseConnection(connection.connection_id)
+    yield from _lost(
+        board,
+        events.ConnectionLost(connection.connection_id, False, 'refused'),
+        now,
+    )
+
+
+def _sweep(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    """Refills pools and reads the health of servers unheard for a while."""
+    section = board.connections
+    checks = MAX_HEALTH_CHECKS_PER_SWEEP
+    for name in _next_slice(board):
+        pool = section.pools[name]
+        yield from open_more(board, pool, WARM_CONNECTIONS, now)
+        if checks and pool.idle:
+            oldest = section.connections[pool.idle[0]]
+            if now - oldest.progress_at > HEALTH_AGE_S:
+                pool.idle.pop(0)
+                checks -= 1
+                yield from check_health(board, oldest, now)
+    yield commands.StartTimer(
+        now + HEALTH_SWEEP_S, events.TimerDue('health_sweep', 0)
+    )
+
+
+def _next_slice(board: blackboard.Blackboard) -> list[str]:
+    """The next few pools in turn: cost a sweep, not cost a fleet."""
+    section = board.connections
+    names = list(section.pools)
+    if not names:
+        return []
+    size = min(len(names), 16)
+    start = section.sweep_position % len(names)
+    section.sweep_position = start + size
+    return [names[(start + step) % len(names)] for step in range(size)]
+
+
+def grow(
+    board: blackboard.Blackboard, pool: blackboard.ServerPool, now: float
+) -> Messages:
+    """Opens one more for work; the last of the share is for comparing."""
+    for_work = max(1, pool.share - SPARE_CONNECTIONS)
+    wanted = min(for_work, len(pool.members) + 1)
+    yield from open_more(board, pool, wanted, now)
+
+
+def open_more(
+    board: blackboard.Blackboard,
+    pool: blackboard.ServerPool,
+    wanted: int,
+    now: float,
+) -> Messages:
+    """Opens connections until `wanted` are held, within the share.
+
+    Ghosts count, at most MAX_OPENING_PER_SERVER open at once, and after a
+    failure none is opened before the wait is over.
+    """
+    section = board.connections
+    room = pool.share - _count_ghosts(pool, now)
+    while (
+        len(pool.members) < min(wanted, room)
+        and pool.opening < MAX_OPENING_PER_SERVER
+        and now >= pool.reopen_at
+    ):
+        connection_id = section.next_id
+        section.next_id += 1
+        section.connections[connection_id] = blackboard.Connection(
+            connection_id, pool.server, 'opening', now
+        )
+        pool.members.add(connection_id)
+        pool.opening += 1
+        yield actions.OpenConnection(connection_id, pool.server, pool.address)
+        yield commands.StartTimer(
+            now + CONNECT_TIMEOUT_S,
+            events.TimerDue('connect', connection_id),
+        )
+
+
+def _count_ghosts(pool: blackboard.ServerPool, now: float) -> int:
+    """Counts given-up connections that the server may still hold.
+
+    When they take the whole share, the oldest stops counting early, so that
+    the server is not lost to this node for long.
+    """
+    ghosts = [at for at in pool.ghosts if now - at < GHOST_HOLD_S]
+    full = ghosts and len(ghosts) >= pool.share
+    if full and now - ghosts[0] > GHOST_MIN_HOLD_S:
+        ghosts = ghosts[1 - pool.share :] if pool.share > 1 else []
+    pool.ghosts = ghosts
+    return len(ghosts)
+
+
+def _shrink(
+    board: blackboard.Blackboard, pool: blackboard.ServerPool
+) -> Messages:
+    while len(pool.members) > pool.share and pool.idle:
+        connection = board.connections.connections[pool.idle[0]]
+        yield from close(board, connection)
+
+
+def close(
+    board: blackboard.Blackboard, connection: blackboard.Connection
+) -> Messages:
+    """Closes a connection and forgets it."""
+    _remove(board, connection)
+    yield actions.CloseConnection(connection.connection_id)
+
+
+def _remove(
+    board: blackboard.Blackboard, connection: blackboard.Connection
+) -> None:
+    section = board.connections
+    pool = section.pools[connection.server]
+    del section.connections[connection.connection_id]
+    pool.members.discard(connection.connection_id)
+    if connection.connection_id in pool.idle:
+        pool.idle.remove(connection.connection_id)
+    if connection.state == 'opening':
+        pool.opening -= 1
+    if connection.state == 'busy':
+        pool.reserved = False
+        section.by_attempt.pop(connection.attempt_id, None)
+
+
+def _close_pool(
+    board: blackboard.Blackboard, pool: blackboard.ServerPool, now: float
+) -> Messages:
+    section = board.connections
+    for connection_id in sorted(pool.members):
+        connection = section.connections[connection_id]
+        attempt_id = connection.attempt_id
+        busy = connection.state == 'busy'
+        yield from close(board, connection)
+        if busy:
+            yield commands.AttemptLost(attempt_id, pool.server, True, 'removed')
+    del section.pools[pool.server]
+
+
+def any_progress_since(
+    board: blackboard.Blackboard, pool: blackboard.ServerPool, since: float
+) -> bool:
+    """Tells whether any connection of a pool made progress since then."""
+    return any(
+        board.connections.connections[other].progress_at >= since
+        for other in pool.members
+    )
+
+
+HANDLERS = {
+    commands.ConfigurationAccepted: _take_configuration,
+    commands.MembersChanged: _take_configuration,
+    events.ConnectionOpened: _opened,
+    events.ConnectionLost: _lost,
+    events.HealthArrived: _health_arrived,
+    events.ReplyArrived: _replied,
+    'connect': _connect_overdue,
+    'health_sweep': _sweep,
+}
--- /dev/null
+++ b/packages/core/balsamshore_core/connections/silence.py
@@ -0,0 +1,147 @@
+"""Connections that have gone silent while new ones work.
+
+A busy connection without progress past the expected time is doubted: its
+attempt may be tried elsewhere as well, and the server is compared over a
+fresh connection. Once the attempt is dropped, its server has been told to
+cancel it and would answer; if it makes progress on other connections but
+not on this one, this connection is silent and is closed. Idle connections
+as old as a silent one are checked before they are used again.
+"""
+
+import collections.abc
+from typing import Any
+
+from balsamshore_core import actions
+from balsamshore_core import blackboard
+from balsamshore_core import commands
+from balsamshore_core import events
+from balsamshore_core.connections import pooling
+
+SILENCE_MIN_S = 0.06
+SILENCE_GIVE_UP_S = 5.0
+DOUBT_WINDOW_S = 0.5
+DOUBT_SERVERS = 3
+
+Messages = collections.abc.Iterator[Any]
+
+
+def _check_silence(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    section = board.connections
+    connection = section.connections.get(int(message.key))
+    if connection is None or connection.attempt_id != message.mark:
+        return
+    pool = section.pools[connection.server]
+    if connection.dropped_at:
+        waited = now - connection.dropped_at
+        seen = pooling.any_progress_since(board, pool, connection.dropped_at)
+        if waited > SILENCE_GIVE_UP_S or (waited > SILENCE_MIN_S and seen):
+            yield from _give_up_silent(board, connection, now)
+            return
+    elif not connection.doubted:
+        connection.doubted = True
+        _note_doubt(board, connection, pool, now)
+        yield commands.AttemptDoubted(connection.attempt_id)
+    if not pooling.any_progress_since(board, pool, now - SILENCE_MIN_S):
+        yield from _compare(board, pool, now)
+    yield commands.StartTimer(
+        now + SILENCE_MIN_S,
+        events.TimerDue('silence', connection.connection_id, message.mark),
+    )
+
+
+def _note_doubt(
+    board: blackboard.Blackboard,
+    connection: blackboard.Connection,
+    pool: blackboard.ServerPool,
+    now: float,
+) -> None:
+    """Doubts all idle connections when several servers go quiet at once."""
+    section = board.connections
+    if pooling.any_progress_since(board, pool, connection.sent_at):
+        return
+    section.doubts[pool.server] = now
+    for name, at in tuple(section.doubts.items()):
+        if now - at > DOUBT_WINDOW_S:
+            del section.doubts[name]
+    if len(section.doubts) >= DOUBT_SERVERS:
+        section.doubt_before = max(section.doubt_before, connection.sent_at)
+
+
+def _compare(
+    board: blackboard.Blackboard, pool: blackboard.ServerPool, now: float
+) -> Messages:
+    """Opens a fresh connection, or reads health on an idle one."""
+    section = board.connections
+    if any(
+        section.connections[other].state in ('checking', 'opening')
+        for other in pool.members
+    ):
+        return
+    if len(pool.members) < pool.share:
+        yield from pooling.open_more(board, pool, len(pool.members) + 1, now)
+    elif pool.idle:
+        oldest = pool.idle.pop(0)
+        yield from pooling.check_health(board, section.connections[oldest], now)
+
+
+def _give_up_silent(
+    board: blackboard.Blackboard,
+    connection: blackboard.Connection,
+    now: float,
+) -> Messages:
+    section = board.connections
+    pool = section.pools[connection.server]
+    section.doubt_before = max(section.doubt_before, connection.sent_at)
+    yield actions.Count('silent_connections')
+    pool.ghosts.append(now)
+    yield from pooling.close(board, connection)
+    yield from check_doubtful(board, pool, now)
+    yield from pooling.open_more(board, pool, pooling.WARM_CONNECTIONS, now)
+
+
+def check_doubtful(
+    board: blackboard.Blackboard, pool: blackboard.ServerPool, now: float
+) -> Messages:
+    """Reads health on idle connections as old as a silent one."""
+    section = board.connections
+    for connection_id in tuple(pool.idle):
+        connection = section.connections[connection_id]
+        if connection.progress_at < section.doubt_before:
+            pool.idle.remove(connection_id)
+            yield from pooling.check_health(board, connection, now)
+
+
+def _check_overdue(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    section = board.connections
+    connection = section.connections.get(int(message.key))
+    if connection is None or connection.state != 'checking':
+        return
+    if now - connection.sent_at < pooling.CHECK_TIMEOUT_S * 0.9:
+        return
+    pool = section.pools[connection.server]
+    fresh = connection.progress_at == 0.0
+    if not fresh:
+        section.doubt_before = max(section.doubt_before, connection.sent_at)
+        pool.ghosts.append(now)
+    yield from pooling.close(board, connection)
+    if fresh and not pooling.any_progress_since(
+        board, pool, connection.sent_at
+    ):
+        yield commands.ServerStalled(pool.server)
+        pool.failures += 1
+        pool.reopen_at = now + min(
+            pooling.REOPEN_MAX_S,
+            pooling.REOPEN_BASE_S * 2 ** min(pool.failures, 8),
+        )
+    else:
+        yield from pooling.open_more(board, pool, pooling.WARM_CONNECTIONS, now)
+
+
+HANDLERS = {
+    'silence': _check_silence,
+    'check': _check_overdue,
+}
--- a/packages/core/balsamshore_core/engine.py
+++ b/packages/core/balsamshore_core/engine.py
@@ -14,8 +14,8 @@
 from balsamshore_core import admission
 from balsamshore_core import blackboard
 from balsamshore_core import commands
-from balsamshore_core import connections
 from balsamshore_core import events
+from balsamshore_core import hedges
 from balsamshore_core import lifecycle
 from balsamshore_core import membership
 from balsamshore_core import quarantine
@@ -23,6 +23,9 @@
 from balsamshore_core import replicas
 from balsamshore_core import requestids
 from balsamshore_core import versions
+from balsamshore_core.connections import dispatch
+from balsamshore_core.connections import pooling
+from balsamshore_core.connections import silence
 
 CLOCK_JUMP_S = 3.0
 ACTION_TYPES = frozenset(typing.get_args(actions.Action))
@@ -31,11 +34,14 @@
     versions,
     membership,
     replicas,
-    connections,
+    pooling,
+    dispatch,
+    silence,
     quarantine,
     requestids,
     admission,
     queries,
+    hedges,
 )
 
 
--- /dev/null
+++ b/packages/core/balsamshore_core/hedges.py
@@ -0,0 +1,81 @@
+"""Second attempts beside one that is late: hedges and doubts.
+
+Both are part of the `queries` controller. Only idempotent work is hedged,
+only within a budget, and never onto servers that are full or leaving.
+"""
+
+import collections.abc
+from typing import Any
+
+from balsamshore_core import blackboard
+from balsamshore_core import budgets
+from balsamshore_core import commands
+from balsamshore_core import events
+from balsamshore_core import queries
+from balsamshore_core import replicas
+
+HEDGE_RECHECK_S = 0.03
+
+Messages = collections.abc.Iterator[Any]
+
+
+def _hedge(
+    board: blackboard.Blackboard, message: events.TimerDue, now: float
+) -> Messages:
+    section = board.queries
+    attempt = section.attempts.get(int(message.key))
+    if attempt is None:
+        return
+    budget = _choose_hedge_budget(board, attempt)
+    waited = now - attempt.sent_at
+    yield commands.AttemptSlow(attempt.server, waited)
+    query = section.queries[attempt.query_id]
+    shard = query.shards[attempt.shard]
+    if len(shard.live) > 1 or query.alone:
+        return
+    holders = query.snapshot.shards[shard.name].replicas
+    others = [
+        name
+        for name in holders
+        if name not in shard.tried
+        and name in board.connections.pools
+        and board.connections.pools[name].idle
+        and replicas.is_usable(board, name, now)
+    ]
+    if others and budget.spend():
+        yield from queries.launch(board, query, shard, 'hedge')
+        return
+    yield commands.StartTimer(
+        now + HEDGE_RECHECK_S, events.TimerDue('hedge', attempt.attempt_id)
+    )
+
+
+def _choose_hedge_budget(
+    board: blackboard.Blackboard, attempt: blackboard.Attempt
+) -> budgets.Budget:
+    replica = board.replicas.replicas.get(attempt.server)
+    if replica is None or replica.prompt:
+        return board.queries.hedge_budget
+    return board.queries.doubt_budget
+
+
+def _doubted(
+    board: blackboard.Blackboard, message: commands.AttemptDoubted, now: float
+) -> Messages:
+    """Asks another server beside an attempt that may never be answered."""
+    section = board.queries
+    attempt = section.attempts.get(message.attempt_id)
+    if attempt is None:
+        return
+    query = section.queries[attempt.query_id]
+    shard = query.shards[attempt.shard]
+    if not query.target.idempotent or query.alone or len(shard.live) > 1:
+        return
+    if section.doubt_budget.spend():
+        yield from queries.launch(board, query, shard, 'retry')
+
+
+HANDLERS = {
+    commands.AttemptDoubted: _doubted,
+    'hedge': _hedge,
+}
--- a/packages/core/balsamshore_core/quarantine.py
+++ b/packages/core/balsamshore_core/quarantine.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import hashlib
 from typing import Any
 
 from balsamshore_core import actions
@@ -24,6 +25,12 @@
 Messages = collections.abc.Iterator[Any]
 
 
+def compute_fingerprint(class_name: str, body: bytes) -> str:
+    """Names a request by class and body, as 16 hexadecimal digits."""
+    digest = hashlib.blake2b(body, digest_size=8, key=class_name.encode()[:64])
+    return digest.hexdigest()
+
+
 def count_losses(
     board: blackboard.Blackboard, fingerprint: str, now: float
 ) -> int:
--- a/packages/core/balsamshore_core/queries.py
+++ b/packages/core/balsamshore_core/queries.py
@@ -10,70 +10,27 @@
 """
 
 import collections.abc
-import hashlib
 from typing import Any
 
 from balsamshore_core import actions
+from balsamshore_core import answers
 from balsamshore_core import blackboard
-from balsamshore_core import budgets
 from balsamshore_core import commands
 from balsamshore_core import configuration
 from balsamshore_core import events
 from balsamshore_core import quarantine
 from balsamshore_core import replicas
+from balsamshore_core import snapshots
 
 MAX_RESTARTS = 1
 CANARY_WAIT_FACTOR = 1.0
 MAX_CANARIES = 2
-HEDGE_RECHECK_S = 0.03
 FREE_REFUSALS = frozenset(('draining', 'snapshot'))
 CRASH_CAUSES = frozenset(('reset', 'closed'))
 
 Messages = collections.abc.Iterator[Any]
 
 
-def compute_fingerprint(class_name: str, body: bytes) -> str:
-    """Names a request by class and body, as 16 hexadecimal digits."""
-    digest = hashlib.blake2b(body, digest_size=8, key=class_name.encode()[:64])
-    return digest.hexdigest()
-
-
-def choose_snapshot(
-    board: blackboard.Blackboard, index: str, now: float, newer_than: int = -1
-) -> configuration.Snapshot | None:
-    """Picks the newest snapshot whose every shard has a believed holder.
-
-    When there is none, the one with the largest share of its records held;
-    None only when nothing is newer than `newer_than`.
-    """
-    current = board.configuration.current
-    assert current is not None
-    best = None
-    best_share = -1.0
-    for snapshot in current.indexes[index]:
-        if snapshot.snapshot_id <= newer_than:
-            continue
-        share = _held_share(board, snapshot, now)
-        if share > best_share:
-            best, best_share = snapshot, share
-        if best_share == 1.0:
-            break
-    return best
-
-
-def _held_share(
-    board: blackboard.Blackboard,
-    snapshot: configuration.Snapshot,
-    now: float,
-) -> float:
-    held = total = 0
-    for shard in snapshot.shards.values():
-        total += shard.records
-        if any(replicas.is_holder(board, name, now) for name in shard.replicas):
-            held += shard.records
-    return held / total
-
-
 def _start(
     board: blackboard.Blackboard, message: commands.QueryAdmitted, now: float
 ) -> Messages:
@@ -81,9 +38,11 @@
     assert current is not None
     arrival = message.arrival
     target = current.classes[arrival.class_name]
-    snapshot = choose_snapshot(board, target.index_name, now)
+    snapshot = snapshots.choose_snapshot(board, target.index_name, now)
     assert snapshot is not None
-    fingerprint = compute_fingerprint(arrival.class_name, arrival.body)
+    fingerprint = quarantine.compute_fingerprint(
+        arrival.class_name, arrival.body
+    )
     allowed_s = arrival.deadline_s or target.deadline_s
     query = blackboard.Query(
         arrival,
@@ -140,7 +99,7 @@
 ) -> Messages:
     idle = [shard for shard in query.shards.values() if not shard.live]
     shard = idle[int(board.rng.random() * len(idle))]
-    yield from _launch(board, query, shard, 'first')
+    yield from launch(board, query, shard, 'first')
     delay = replicas.hedge_delay(board, query.target.index_name, shard.name)
     yield commands.StartTimer(
         now + CANARY_WAIT_FACTOR * delay,
@@ -169,15 +128,23 @@
     query.phase = 'scatter'
     for shard in tuple(query.shards.values()):
         if shard.body is None and not shard.reason and not shard.live:
-            yield from _launch(board, query, shard, 'first')
+            yield from launch(board, query, shard, 'first')
 
 
-def _launch(
+def launch(
     board: blackboard.Blackboard,
     query: blackboard.Query,
     shard: blackboard.ShardState,
     kind: str,
 ) -> Messages:
+    """Asks for an attempt on a shard, at a server not yet tried if any.
+
+    Args:
+        board: The blackboard.
+        query: The query.
+        shard: One of its shards.
+        kind: `first`, `hedge` or `retry`.
+    """
     section = board.queries
     holders = query.snapshot.shards[shard.name].replicas
     servers = tuple(name for name in holders if name not in shard.tried)
@@ -230,62 +197,6 @@
         )
 
 
-def _hedge(
-    board: blackboard.Blackboard, message: events.TimerDue, now: float
-) -> Messages:
-    section = board.queries
-    attempt = section.attempts.get(int(message.key))
-    if attempt is None:
-        return
-    budget = _choose_hedge_budget(board, attempt)
-    waited = now - attempt.sent_at
-    yield commands.AttemptSlow(attempt.server, waited)
-    query = section.queries[attempt.query_id]
-    shard = query.shards[attempt.shard]
-    if len(shard.live) > 1 or query.alone:
-        return
-    holders = query.snapshot.shards[shard.name].replicas
-    others = [
-        name
-        for name in holders
-        if name not in shard.tried
-        and name in board.connections.pools
-        and board.connections.pools[name].idle
-        and replicas.is_usable(board, name, now)
-    ]
-    if others and budget.spend():
-        yield from _launch(board, query, shard, 'hedge')
-        return
-    yield commands.StartTimer(
-        now + HEDGE_RECHECK_S, events.TimerDue('hedge', attempt.attempt_id)
-    )
-
-
-def _choose_hedge_budget(
-    board: blackboard.Blackboard, attempt: blackboard.Attempt
-) -> budgets.Budget:
-    replica = board.replicas.replicas.get(attempt.server)
-    if replica is None or replica.prompt:
-        return board.queries.hedge_budget
-    return board.queries.doubt_budget
-
-
-def _doubted(
-    board: blackboard.Blackboard, message: commands.AttemptDoubted, now: float
-) -> Messages:
-    """Asks another server beside an attempt that may never be answered."""
-    section = board.queries
-    attempt = section.attempts.get(message.attempt_id)
-    if attempt is None:
-        return
-    query = section.queries[attempt.query_id]
-    shard = query.shards[attempt.shard]
-    if not query.target.idempotent or query.alone or len(shard.live) > 1:
-        return
-    if section.doubt_budget.spend():
-        yield from _launch(board, query, shard, 'retry')
-
-
 def _replied(
     board: blackboard.Blackboard, message: commands.AttemptReplied, now: float
 ) -> Messages:
@@ -398,7 +309,7 @@
         yield commands.SuspectRetryWanted(query.arrival.query_id)
         return
     if not spent and (free or board.queries.retry_budget.spend()):
-        yield from _launch(board, query, shard, 'retry')
+        yield from launch(board, query, shard, 'retry')
         return
     if reason == 'snapshot' and _may_restart(board, query, now):
         yield from _restart(board, query, now)
@@ -428,13 +339,13 @@
         if stopped:
             yield from _finish(board, query, 'backend_server_lost', now)
             return
-        yield from _launch(board, query, shard, 'retry')
+        yield from launch(board, query, shard, 'retry')
 
 
 def _may_restart(
     board: blackboard.Blackboard, query: blackboard.Query, now: float
 ) -> bool:
-    newer = choose_snapshot(
+    newer = snapshots.choose_snapshot(
         board, query.target.index_name, now, query.snapshot.snapshot_id
     )
     return (
@@ -449,7 +360,7 @@
 def _restart(
     board: blackboard.Blackboard, query: blackboard.Query, now: float
 ) -> Messages:
-    newer = choose_snapshot(
+    newer = snapshots.choose_snapshot(
         board, query.target.index_name, now, query.snapshot.snapshot_id
     )
     assert newer is not None
@@ -494,7 +405,7 @@
     query = board.queries.queries.get(int(message.key))
     if query is None or query.target.coverage_floor >= 1.0:
         return
-    if _coverage(query) >= query.target.coverage_floor:
+    if answers.compute_coverage(query) >= query.target.coverage_floor:
         yield from _finish(board, query, 'timeout', now)
 
 
@@ -522,7 +433,7 @@
 ) -> Messages:
     yield from _drop_live(board, query)
     del board.queries.queries[query.arrival.query_id]
-    answer = _build_answer(query, reason)
+    answer = answers.build_answer(query, reason)
     yield actions.AnswerCaller(answer)
     yield commands.QueryFinished(
         query.target.index_name,
@@ -545,51 +456,6 @@
             )
 
 
-def _build_answer(query: blackboard.Query, reason: str) -> actions.Answer:
-    results = {
-        shard.name: shard.body
-        for shard in query.shards.values()
-        if shard.body is not None
-    }
-    lacking = tuple(
-        actions.LackingShard(shard.name, shard.reason or reason)
-        for shard in query.shards.values()
-        if shard.body is None
-    )
-    outcome = 'complete'
-    if lacking:
-        outcome = 'partial' if results else 'unknown'
-        if not results and not query.uncertain:
-            outcome = 'not run'
-    return actions.Answer(
-        query.arrival.query_id,
-        outcome,
-        reason if lacking else '',
-        query.snapshot.snapshot_id,
-        results,
-        lacking,
-        _coverage(query),
-        _retry_after(reason) if lacking else 0.0,
-    )
-
-
-def _retry_after(reason: str) -> float:
-    if reason == 'quarantined':
-        return quarantine.QUARANTINE_S
-    return replicas.COLD_S
-
-
-def _coverage(query: blackboard.Query) -> float:
-    shards = query.snapshot.shards
-    total = sum(shard.records for shard in shards.values())
-    held = sum(
-        shards[state.name].records
-        for state in query.shards.values()
-        if state.body is not None
-    )
-    return held / total
-
-
 def _take_attempt(
     board: blackboard.Blackboard, attempt_id: int
 ) -> tuple[blackboard.Query, blackboard.ShardState, blackboard.Attempt] | None:
@@ -606,12 +472,10 @@
     commands.QueryAdmitted: _start,
     commands.QueryWithdrawn: _withdraw,
     commands.AttemptSent: _sent,
-    commands.AttemptDoubted: _doubted,
     commands.AttemptReplied: _replied,
     commands.AttemptLost: _lost,
     commands.AttemptRejected: _rejected,
     commands.SuspectRetryWanted: _retry_alone,
-    'hedge': _hedge,
     'canary': _canary_late,
     'query_soft': _soft_deadline,
     'query_deadline': _deadline,
--- a/packages/core/balsamshore_core/requestids.py
+++ b/packages/core/balsamshore_core/requestids.py
@@ -15,7 +15,7 @@
 from balsamshore_core import blackboard
 from balsamshore_core import commands
 from balsamshore_core import events
-from balsamshore_core import queries
+from balsamshore_core import quarantine
 
 REQUEST_ID_LIFETIME_S = 600.0
 MAX_ISSUED = 50_000
@@ -155,7 +155,9 @@
         else:
             yield _answer(message.query_id, 'unknown', 'request_id_expired')
         return
-    fingerprint = queries.compute_fingerprint(message.class_name, message.body)
+    fingerprint = quarantine.compute_fingerprint(
+        message.class_name, message.body
+    )
     if issued.fingerprint not in ('', fingerprint):
         yield refuse(message.query_id, 'request_id_reused')
         return
--- /dev/null
+++ b/packages/core/balsamshore_core/snapshots.py
@@ -0,0 +1,41 @@
+"""Which snapshot a query is pinned to."""
+
+from balsamshore_core import blackboard
+from balsamshore_core import configuration
+from balsamshore_core import replicas
+
+
+def choose_snapshot(
+    board: blackboard.Blackboard, index: str, now: float, newer_than: int = -1
+) -> configuration.Snapshot | None:
+    """Picks the newest snapshot whose every shard has a believed holder.
+
+    When there is none, the one with the largest share of its records held;
+    None only when nothing is newer than `newer_than`.
+    """
+    current = board.configuration.current
+    assert current is not None
+    best = None
+    best_share = -1.0
+    for snapshot in current.indexes[index]:
+        if snapshot.snapshot_id <= newer_than:
+            continue
+        share = _held_share(board, snapshot, now)
+        if share > best_share:
+            best, best_share = snapshot, share
+        if best_share == 1.0:
+            break
+    return best
+
+
+def _held_share(
+    board: blackboard.Blackboard,
+    snapshot: configuration.Snapshot,
+    now: float,
+) -> float:
+    held = total = 0
+    for shard in snapshot.shards.values():
+        total += shard.records
+        if any(replicas.is_holder(board, name, now) for name in shard.replicas):
+            held += shard.records
+    return held / total
--- a/packages/node/balsamshore_node/backends.py
+++ b/packages/node/balsamshore_node/backends.py
@@ -14,8 +14,8 @@
 import loguru
 import opentelemetry.trace as otel_trace
 from balsamshore_core import actions
-from balsamshore_core import connections as connection_rules
 from balsamshore_core import events
+from balsamshore_core.connections import pooling
 
 from balsamshore_node import errors
 from balsamshore_node import telemetry
@@ -97,7 +97,7 @@
         with slot.scope:
             try:
                 connection = await transport.open_connection(
-                    action.address, connection_rules.CONNECT_TIMEOUT_S
+                    action.address, pooling.CONNECT_TIMEOUT_S
                 )
                 self._dispatch(events.ConnectionOpened(connection_id))
                 async with anyio.create_task_group() as tasks:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,8 +1,8 @@
 """Connections, crashes and overload, in virtual time."""
 
 import small
-from balsamshore_core import connections
 from balsamshore_core import quantiles
+from balsamshore_core.connections import pooling
 
 
 def make_silent(node, server):
@@ -76,7 +76,7 @@
 def test_the_shares_of_a_fleet_never_pass_the_limit():
     for limit in (1, 8, 30, 100):
         for fleet in range(1, 60):
-            share = connections.compute_share(limit, fleet)
+            share = pooling.compute_share(limit, fleet)
             assert share * (fleet + 2) <= limit
 
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -5,12 +5,13 @@
 import promises
 import pytest
 from balsamshore_core import addresses
-from balsamshore_core import connections
+from balsamshore_core import answers
 from balsamshore_core import quarantine
 from balsamshore_core import queries
 from balsamshore_core import replicas
 from balsamshore_core import requestids
 from balsamshore_core import versions
+from balsamshore_core.connections import pooling
 
 STEPS = st.lists(
     st.tuples(
@@ -58,7 +59,7 @@
 
 
 def call_everything_not_run(monkeypatch):
-    build = queries._build_answer
+    build = answers.build_answer
 
     def build_wrongly(query, reason):
         answer = build(query, reason)
@@ -66,7 +67,7 @@
             return answer._replace(outcome='not run')
         return answer
 
-    monkeypatch.setattr(queries, '_build_answer', build_wrongly)
+    monkeypatch.setattr(answers, 'build_answer', build_wrongly)
 
 
 def trust_every_reply(monkeypatch):
@@ -83,16 +84,16 @@
 
 
 def forget_lacking_shards(monkeypatch):
-    build = queries._build_answer
+    build = answers.build_answer
 
     def build_wrongly(query, reason):
         return build(query, reason)._replace(lacking=())
 
-    monkeypatch.setattr(queries, '_build_answer', build_wrongly)
+    monkeypatch.setattr(answers, 'build_answer', build_wrongly)
 
 
 def claim_whole_coverage(monkeypatch):
-    monkeypatch.setattr(queries, '_coverage', lambda query: 1.0)
+    monkeypatch.setattr(answers, 'compute_coverage', lambda query: 1.0)
 
 
 def accept_older_versions(monkeypatch):
@@ -108,11 +109,9 @@
 
 
 def take_the_whole_limit(monkeypatch):
-    monkeypatch.setattr(
-        connections, 'compute_share', lambda limit, fleet: limit
-    )
-    monkeypatch.setattr(connections, 'WARM_CONNECTIONS', 20)
-    monkeypatch.setattr(connections, 'MAX_OPENING_PER_SERVER', 20)
+    monkeypatch.setattr(pooling, 'compute_share', lambda limit, fleet: limit)
+    monkeypatch.setattr(pooling, 'WARM_CONNECTIONS', 20)
+    monkeypatch.setattr(pooling, 'MAX_OPENING_PER_SERVER', 20)
 
 
 def never_stop_a_fingerprint(monkeypatch):
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -2,7 +2,7 @@
 
 import small
 from balsamshore_core import budgets
-from balsamshore_core import connections
+from balsamshore_core.connections import pooling
 
 
 def replicas_of(shard, index='many'):
@@ -242,5 +242,5 @@
     for number in range(100):
         world.query(node, 'whole', b'"%d"' % number, deadline_s=5.0)
     world.run(6.0)
-    share = connections.compute_share(30, 1)
+    share = pooling.compute_share(30, 1)
     assert max(world.peak_connections.values()) <= share
