Keep a suspect alone and the other shards of its query

Cause: reading the code. A suspect whose shard had no server left was sent to every other shard at once; a spent retry budget ended the whole query; a retry of another shard could clear a suspect. Change: a suspect goes on one shard at a time; a spent budget gives up only its shard; only an attempt of kind 'alone' clears a suspect. Ids of backend servers and request ids are read up to a bounded length. Before: the two new tests failed (4 crashes; 'unknown' instead of 3 of 4 shards). After: both pass.

--- a/packages/core/balsamshore_core/commands.py
+++ b/packages/core/balsamshore_core/commands.py
@@ -68,7 +68,7 @@
         snapshot_id: Snapshot pinned.
         servers: Replicas that may run it.
         alone: Run it only where nothing else of this node runs.
-        kind: `first`, `hedge` or `retry`.
+        kind: `first`, `hedge`, `retry`, or `alone` for a suspect.
         deadline_at: Monotonic time after which it is useless.
         body: Request body.
         careful: Use only a connection that made progress just now.
--- a/packages/core/balsamshore_core/queries.py
+++ b/packages/core/balsamshore_core/queries.py
@@ -56,7 +56,8 @@
     )
     board.queries.queries[arrival.query_id] = query
     _pin(board, query, snapshot, now)
-    if quarantine.count_losses(board, fingerprint, now) >= 2:
+    losses = quarantine.count_losses(board, fingerprint, now)
+    if losses >= quarantine.STOP_LOSSES:
         yield from _finish(board, query, 'quarantined', now)
         return
     yield from _launch_first(board, query, now)
@@ -143,7 +144,7 @@
         board: The blackboard.
         query: The query.
         shard: One of its shards.
-        kind: `first`, `hedge` or `retry`.
+        kind: `first`, `hedge`, `retry`, or `alone` for a suspect.
     """
     section = board.queries
     holders = query.snapshot.shards[shard.name].replicas
@@ -247,7 +248,7 @@
             shard.name,
             body,
         )
-    proved_alone = query.alone and attempt.kind == 'retry'
+    proved_alone = attempt.kind == 'alone'
     if query.phase == 'canary' or proved_alone:
         query.alone = False
         yield commands.FingerprintSafe(query.fingerprint)
@@ -330,16 +331,19 @@
     if query is None:
         return
     losses = quarantine.count_losses(board, query.fingerprint, now)
-    stopped = losses >= 2 or not board.queries.retry_budget.spend()
+    if losses >= quarantine.STOP_LOSSES:
+        yield from _finish(board, query, 'backend_server_lost', now)
+        return
     for shard in tuple(query.shards.values()):
         if shard.live or shard.body is not None or shard.reason:
             continue
         if query.phase == 'canary' and not shard.tried:
             continue
-        if stopped:
-            yield from _finish(board, query, 'backend_server_lost', now)
-            return
-        yield from launch(board, query, shard, 'retry')
+        if board.queries.retry_budget.spend():
+            yield from launch(board, query, shard, 'alone')
+        else:
+            reason = 'backend_server_lost'
+            yield from _give_up(board, query, shard, reason, now)
 
 
 def _may_restart(
@@ -380,10 +384,24 @@
 ) -> Messages:
     shard.reason = reason
     query.open_shards -= 1
-    if query.phase == 'canary':
-        yield from _scatter(board, query, now)
     if not query.open_shards:
         yield from _finish(board, query, reason, now)
+    elif query.phase == 'canary':
+        yield from _follow_canary(board, query, now)
+
+
+def _follow_canary(
+    board: blackboard.Blackboard, query: blackboard.Query, now: float
+) -> Messages:
+    """Goes on after a canary without a result; a suspect stays alone."""
+    if not query.alone:
+        yield from _scatter(board, query, now)
+        return
+    for shard in query.shards.values():
+        if shard.body is None and not shard.reason:
+            if not shard.live:
+                yield from launch(board, query, shard, 'alone')
+            return
 
 
 def _rejected(
--- a/packages/core/balsamshore_core/requestids.py
+++ b/packages/core/balsamshore_core/requestids.py
@@ -20,7 +20,9 @@
 REQUEST_ID_LIFETIME_S = 600.0
 MAX_ISSUED = 50_000
 RETRY_AFTER_S = 1.0
-ID_PATTERN = re.compile(r'^([A-Za-z0-9._-]{1,64})~([0-9a-f]+)~([0-9a-f]+)$')
+ID_PATTERN = re.compile(
+    r'^([A-Za-z0-9._-]{1,64})~([0-9a-f]{1,16})~([0-9a-f]{1,16})$'
+)
 
 Messages = collections.abc.Iterator[Any]
 
--- a/packages/node/balsamshore_node/api.py
+++ b/packages/node/balsamshore_node/api.py
@@ -115,7 +115,7 @@
         )
 
     async def _query(self, scope: Scope, receive: Receive, send: Send) -> None:
-        arrival = _read_query(await _read_body(receive, MAX_BODY_BYTES))
+        arrival = read_query(await _read_body(receive, MAX_BODY_BYTES))
         headers = dict(scope['headers'])
         stream = b'application/x-ndjson' in headers.get(b'accept', b'')
         query_id, pending = self._runtime.begin_query(
@@ -264,7 +264,12 @@
     )
 
 
-def _read_query(body: bytes) -> events.QueryArrived:
+def read_query(body: bytes) -> events.QueryArrived:
+    """Reads the body of a query.
+
+    Raises:
+        errors.RequestError: It says what is wrong and what is accepted.
+    """
     try:
         fields = json.loads(body)
     except (ValueError, RecursionError):
--- a/packages/node/balsamshore_node/backends.py
+++ b/packages/node/balsamshore_node/backends.py
@@ -26,6 +26,7 @@
 HEALTH_TARGET = '/v1/health'
 REFUSED_STATUS = 503
 MAX_JOBS = 16
+MAX_DIGITS = 18
 
 Job = actions.SendAttempt | actions.SendCancel | actions.SendHealthCheck
 
@@ -178,7 +179,7 @@
             self._end_span(slot, str(reply.status))
             if job is None:
                 return 'protocol'
-            event = _read_reply(connection_id, job, reply, self._prefix)
+            event = read_reply(connection_id, job, reply, self._prefix)
             if event is not None:
                 self._dispatch(event)
             if reply.closing:
@@ -192,9 +193,17 @@
             slot.span = None
 
 
-def _read_reply(
+def read_reply(
     connection_id: int, job: Job, reply: transport.Reply, prefix: bytes
 ) -> events.ReplyArrived | events.HealthArrived | None:
+    """Turns a reply into an event; None when nobody waits for it.
+
+    Args:
+        connection_id: The connection that carried it.
+        job: What it answers.
+        reply: The whole response.
+        prefix: Prefix of the ids that this process sends.
+    """
     draining = reply.headers.get(b'x-draining') == b'1'
     if isinstance(job, actions.SendCancel):
         return None
@@ -228,10 +237,14 @@
 def _read_id(text: bytes, prefix: bytes) -> int:
     """Reads an id of ours, or 0 when another process made it."""
     number = text.removeprefix(prefix)
-    if not text.startswith(prefix) or not number.isdigit():
+    if not text.startswith(prefix) or not _is_number(number):
         return 0
     return int(number)
 
 
 def _read_snapshot(text: bytes) -> int:
-    return int(text) if text.isdigit() else -1
+    return int(text) if _is_number(text) else -1
+
+
+def _is_number(text: bytes) -> bool:
+    return text.isdigit() and len(text) <= MAX_DIGITS
--- a/packages/node/balsamshore_node/overview.py
+++ b/packages/node/balsamshore_node/overview.py
@@ -10,6 +10,7 @@
 
 MIN_ANSWERS = 10
 RECENT_REPORTS = 5
+EXTRA_KINDS = ('hedge', 'retry', 'alone')
 
 
 class ClassView(TypedDict):
@@ -124,7 +125,7 @@
 
 def _compute_extra_load(runtime: node_runtime.Runtime) -> float:
     counters = runtime.metrics.counters
-    extra = counters['attempts.hedge'] + counters['attempts.retry']
+    extra = sum(counters[f'attempts.{kind}'] for kind in EXTRA_KINDS)
     return extra / max(1, counters['attempts.sent'] - extra)
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -104,6 +104,35 @@
     assert answer.retry_after_s > 0
 
 
+def test_a_suspect_without_a_server_is_not_sent_to_every_shard():
+    world, (node,) = small.start_world()
+    for server in world.servers.values():
+        server.crash_bodies.add(b'"poison"')
+        server.restart_s = 30.0
+    for shard in range(4):
+        for replica in range(1, 3):
+            world.go_down(f'many-{shard}-{replica}')
+    world.run(2.0)
+    small.ask(world, node, body=b'"poison"')
+    assert sum(run.body == b'"poison"' for run in world.runs) <= 2
+
+
+def test_a_query_keeps_its_other_shards_when_the_retry_budget_is_spent():
+    world, (node,) = small.start_world()
+    small.ask(world, node)
+    node.board.queries.retry_budget.tokens = 0.0
+    for server in world.servers.values():
+        server.service_s = 0.05
+    query_id = world.query(node, 'whole', b'1')
+    world.run(0.01)
+    running = [run for run in world.runs if run.at > world.now - 0.011]
+    world.go_down(running[0].server)
+    world.run(1.0)
+    answer = node.answers[query_id]
+    assert answer.outcome == 'partial'
+    assert len(answer.results) == 3
+
+
 def test_innocent_requests_beside_a_crash_are_not_stopped():
     world, (node,) = small.start_world()
     for server in world.servers.values():
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -1,5 +1,6 @@
 """Both programs without a network: settings, usage, files."""
 
+import contextlib
 import io
 import json
 
@@ -8,9 +9,14 @@
 import pytest
 import small
 from balsamshore_cli import core as cli
+from balsamshore_core import actions
+from balsamshore_node import api
+from balsamshore_node import backends
 from balsamshore_node import core as node
 from balsamshore_node import environment
+from balsamshore_node import errors
 from balsamshore_node import settings
+from balsamshore_node import transport
 
 SOUND = {
     'name': 'vm1',
@@ -74,27 +80,27 @@
 
 
 def test_no_command_is_a_usage_error():
-    status, _, errors = run_cli()
+    status, _, text = run_cli()
     assert status == 2
-    assert '--help' in errors
+    assert '--help' in text
 
 
 def test_no_vm_is_a_clear_error():
-    status, _, errors = run_cli('status')
+    status, _, text = run_cli('status')
     assert status == 1
-    assert 'BALSAMSHORE_VMS' in errors
+    assert 'BALSAMSHORE_VMS' in text
 
 
 def test_an_unreachable_vm_is_a_clear_error():
-    status, _, errors = run_cli('status', '--vms=127.0.0.1:1')
+    status, _, text = run_cli('status', '--vms=127.0.0.1:1')
     assert status == 1
-    assert 'name another VM' in errors
+    assert 'name another VM' in text
 
 
 def test_a_request_that_is_not_json_is_a_clear_error():
-    status, _, errors = run_cli('query', 'c', '{x', '--vms=127.0.0.1:1')
+    status, _, text = run_cli('query', 'c', '{x', '--vms=127.0.0.1:1')
     assert status == 1
-    assert 'gave no answer' in errors or 'not valid JSON' in errors
+    assert 'gave no answer' in text or 'not valid JSON' in text
 
 
 def test_a_sound_document_passes_the_check(tmp_path):
@@ -110,15 +116,15 @@
     document['classes']['read']['quantile'] = 7
     file = tmp_path / 'new.json'
     file.write_bytes(small.encode(document))
-    status, _, errors = run_cli('targets', 'check', str(file))
+    status, _, text = run_cli('targets', 'check', str(file))
     assert status == 6
-    assert 'classes.read.quantile' in errors
+    assert 'classes.read.quantile' in text
 
 
 def test_a_missing_file_is_a_clear_error():
-    status, _, errors = run_cli('targets', 'check', '/no/such/file')
+    status, _, text = run_cli('targets', 'check', '/no/such/file')
     assert status == 1
-    assert 'No such file' in errors
+    assert 'No such file' in text
 
 
 @pytest.mark.parametrize('text', ['', 'nonsense\n', '{}\n{}\n'])
@@ -127,3 +133,60 @@
     file.write_text(text)
     status, _, _ = run_cli('replay', str(file))
     assert status in (1, 6)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+@hypothesis.given(st.binary(max_size=200))
+def test_any_body_is_a_query_or_a_request_error(body):
+    with contextlib.suppress(errors.RequestError):
+        assert api.read_query(body).class_name
+
+
+@hypothesis.given(
+    st.dictionaries(st.sampled_from([*api.QUERY_FIELDS, 'other']), JSON_VALUES)
+)
+def test_any_fields_are_a_query_or_a_request_error(fields):
+    with contextlib.suppress(errors.RequestError):
+        arrival = api.read_query(json.dumps(fields).encode())
+        assert 0 <= arrival.deadline_s <= 60
+        assert arrival.class_name == fields['class']
+
+
+@hypothesis.given(
+    st.dictionaries(
+        st.sampled_from(
+            [b'x-attempt', b'x-query', b'x-shard', b'x-snapshot', b'x-not-run']
+        ),
+        st.binary(max_size=20),
+    ),
+    st.binary(max_size=50),
+    st.sampled_from([200, 499, 500, 503]),
+)
+def test_any_reply_of_a_backend_server_is_read(headers, body, status):
+    reply = transport.Reply(status, headers, body, False)
+    job = actions.SendAttempt(
+        1, 2, 3, 'many', 's0', 1, 0.5, 'many-0-0', 'first', b'1'
+    )
+    event = backends.read_reply(1, job, reply, b'vm~1~')
+    named = headers.get(b'x-attempt', b'')
+    assert (event.attempt_id != 0) == (
+        named.startswith(b'vm~1~')
+        and named[5:].isdigit()
+        and int(named[5:]) != 0
+    )
+    if status != 200:
+        assert event.failed
+
+
+def test_a_reply_that_is_not_json_is_a_failure():
+    reply = transport.Reply(200, {}, b'{"half', False)
+    job = actions.SendAttempt(
+        1, 2, 3, 'many', 's0', 1, 0.5, 'many-0-0', 'first', b'1'
+    )
+    assert backends.read_reply(1, job, reply, b'vm~1~').failed
