Add a rolling replacement to the benchmark, sort imports as first party

Cause: no figure showed that callers notice nothing when every node is replaced; ruff took our own packages for third parties. Change: scenario 'rolling' replaces all 8 nodes under load, two at a time; a missing development package and a fleet that does not start are told plainly by the command line.

--- a/bench/transports.py
+++ b/bench/transports.py
@@ -15,6 +15,7 @@
 
 import anyio
 import httpx
+
 from balsamshore_node import transport
 from balsamshore_standins import serving
 
--- a/packages/cli/balsamshore_cli/__main__.py
+++ b/packages/cli/balsamshore_cli/__main__.py
@@ -3,9 +3,8 @@
 import os
 import sys
 
-from balsamshore_node import environment
-
 from balsamshore_cli import core
+from balsamshore_node import environment
 
 
 def run() -> None:
--- a/packages/cli/balsamshore_cli/bench.py
+++ b/packages/cli/balsamshore_cli/bench.py
@@ -6,11 +6,6 @@
 from typing import TypedDict
 
 import anyio
-from balsamshore_node import environment
-from balsamshore_standins import fleet
-from balsamshore_standins import load
-from balsamshore_standins import plans
-from balsamshore_standins import truth
 
 from balsamshore_cli import errors
 from balsamshore_cli import output
@@ -18,6 +13,11 @@
 from balsamshore_cli import scenarios
 from balsamshore_cli import status
 from balsamshore_cli import summaries
+from balsamshore_node import environment
+from balsamshore_standins import fleet
+from balsamshore_standins import load
+from balsamshore_standins import plans
+from balsamshore_standins import truth
 
 BASE_RATE = 60.0
 DURATION_S = 12.0
@@ -90,7 +90,12 @@
             )
         for scenario in chosen:
             for kind in (fleet.NODE, fleet.BASELINE):
-                result = run_scenario(site, scenario, kind, seed, duration_s)
+                try:
+                    result = run_scenario(
+                        site, scenario, kind, seed, duration_s
+                    )
+                except fleet.FleetError as error:
+                    raise errors.CommandError(str(error)) from error
                 results.append(result)
                 env.stderr.write(f'{site} {scenario.name} {kind}: done\n')
     rows = [_list_cells(result) for result in results]
@@ -133,6 +138,7 @@
 ) -> Result:
     """Runs one scenario on one system and judges it by the ledgers."""
     deployment = plans.plan_deployment(site_name, fleet.choose_host(), seed)
+    duration_s = scenario.duration_s or duration_s
     rate = BASE_RATE
     if scenario.saturated:
         rate = plans.compute_capacity(
--- a/packages/cli/balsamshore_cli/core.py
+++ b/packages/cli/balsamshore_cli/core.py
@@ -4,11 +4,11 @@
 
 import fire
 import fire.core
-from balsamshore_node import environment
 
 from balsamshore_cli import definitions
 from balsamshore_cli import errors
 from balsamshore_cli import status
+from balsamshore_node import environment
 
 
 def main(args: list[str], env: environment.Environment) -> status.ExitStatus:
--- a/packages/cli/balsamshore_cli/definitions.py
+++ b/packages/cli/balsamshore_cli/definitions.py
@@ -1,11 +1,15 @@
 """The commands and their flags; the work is elsewhere."""
 
+import importlib
+import types
+
 import fire
-from balsamshore_node import environment
 
+from balsamshore_cli import errors
 from balsamshore_cli import operators
 from balsamshore_cli import queries
 from balsamshore_cli import status as statuses
+from balsamshore_node import environment
 
 
 class Targets:
@@ -100,10 +104,9 @@
         self, rate: str = '60', seconds: str = '10', seed: str = '7'
     ) -> statuses.ExitStatus:
         """Runs both deployments on this machine and checks every answer."""
-        # The stand-ins are for development and may not be installed.
-        from balsamshore_cli import demo
-
-        return demo.run_demo(self._env, float(rate), float(seconds), int(seed))
+        return _load('demo').run_demo(
+            self._env, float(rate), float(seconds), int(seed)
+        )
 
     @fire.decorators.SetParseFn(str)
     def bench(
@@ -115,9 +118,17 @@
         out: str = 'out/bench',
     ) -> statuses.ExitStatus:
         """Measures the system beside the plain baseline under faults."""
-        from balsamshore_cli import bench
-
         short = quick not in ('no', 'False')
-        return bench.run_bench(
+        return _load('bench').run_bench(
             self._env, short, scenarios, sites, int(seed), out
         )
+
+
+def _load(name: str) -> types.ModuleType:
+    """Imports a module that needs the stand-ins, which users may lack."""
+    try:
+        return importlib.import_module(f'balsamshore_cli.{name}')
+    except ModuleNotFoundError as error:
+        raise errors.CommandError(
+            f'{name} needs {error.name}; run make install in a checkout'
+        ) from error
--- a/packages/cli/balsamshore_cli/demo.py
+++ b/packages/cli/balsamshore_cli/demo.py
@@ -4,16 +4,17 @@
 from typing import Any
 
 import anyio
+
+from balsamshore_cli import errors
+from balsamshore_cli import output
+from balsamshore_cli import status
+from balsamshore_cli import summaries
 from balsamshore_node import environment
 from balsamshore_standins import fleet
 from balsamshore_standins import load
 from balsamshore_standins import plans
 from balsamshore_standins import truth
 
-from balsamshore_cli import output
-from balsamshore_cli import status
-from balsamshore_cli import summaries
-
 SLOW_FACTOR = 20.0
 MAX_SHOWN = 5
 
@@ -31,7 +32,10 @@
     """
     held = True
     for name in plans.USERS:
-        held = _run_site(env, name, rate, duration_s, seed) and held
+        try:
+            held = _run_site(env, name, rate, duration_s, seed) and held
+        except fleet.FleetError as error:
+            raise errors.CommandError(str(error)) from error
     if not held:
         env.stderr.write('a promise was broken; see above\n')
         return status.ExitStatus.CHECK_FAILED
--- a/packages/cli/balsamshore_cli/operators.py
+++ b/packages/cli/balsamshore_cli/operators.py
@@ -3,16 +3,15 @@
 import pathlib
 from typing import Any
 
-from balsamshore_core import configuration
-from balsamshore_core import targets
-from balsamshore_core import traces
-from balsamshore_node import environment
-
 from balsamshore_cli import client
 from balsamshore_cli import errors
 from balsamshore_cli import output
 from balsamshore_cli import queries
 from balsamshore_cli import status
+from balsamshore_core import configuration
+from balsamshore_core import targets
+from balsamshore_core import traces
+from balsamshore_node import environment
 
 
 def show_status(env: environment.Environment, vms: str) -> status.ExitStatus:
--- a/packages/cli/balsamshore_cli/output.py
+++ b/packages/cli/balsamshore_cli/output.py
@@ -7,6 +7,7 @@
 import rich.box
 import rich.console
 import rich.table
+
 from balsamshore_node import environment
 
 PIPED_WIDTH = 120
--- a/packages/cli/balsamshore_cli/queries.py
+++ b/packages/cli/balsamshore_cli/queries.py
@@ -5,12 +5,11 @@
 from typing import Any
 from typing import NamedTuple
 
-from balsamshore_node import environment
-
 from balsamshore_cli import client
 from balsamshore_cli import errors
 from balsamshore_cli import output
 from balsamshore_cli import status
+from balsamshore_node import environment
 
 VMS_VARIABLE = 'BALSAMSHORE_VMS'
 
--- a/packages/cli/balsamshore_cli/scenarios.py
+++ b/packages/cli/balsamshore_cli/scenarios.py
@@ -1,5 +1,6 @@
 """Fault schedules of the benchmark, for either deployment."""
 
+import signal
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -9,6 +10,8 @@
 STRAGGLE_FACTOR = 20.0
 OVERLOAD_SLOW_FACTOR = 10.0
 OVERLOAD_RATE_FACTOR = 2.0
+REPLACED_AT_ONCE = 2
+REPLACE_TIMEOUT_S = 60.0
 NEXT_SNAPSHOT = plans.FIRST_SNAPSHOT + 1
 
 Step = Callable[[fleet.Fleet], None]
@@ -26,6 +29,7 @@
             it is done before the warm-up.
         poison: Whether some requests crash the servers that run them.
         saturated: Whether rates are multiples of the capacity.
+        duration_s: Length of its own, or 0 for that of the run.
     """
 
     name: str
@@ -34,6 +38,7 @@
     steps: tuple[tuple[float, Step], ...]
     poison: bool = False
     saturated: bool = False
+    duration_s: float = 0.0
 
 
 def list_one_replica(site: fleet.Fleet, replica: int) -> list[str]:
@@ -123,6 +128,21 @@
     site.command('up', servers=plans.list_replicas(index, 0))
 
 
+def _replace_nodes(site: fleet.Fleet) -> None:
+    """Replaces every node, two at a time, each by a graceful shutdown."""
+    names = [vm.name for vm in site.deployment.vms]
+    for start in range(0, len(names), REPLACED_AT_ONCE):
+        pair = names[start : start + REPLACED_AT_ONCE]
+        for name in pair:
+            site.send_signal(name, signal.SIGTERM)
+        for name in pair:
+            site.await_exit(name, REPLACE_TIMEOUT_S)
+        for name in pair:
+            site.start_node(name)
+        for name in pair:
+            site.await_ready(name)
+
+
 SCENARIOS = (
     Scenario('steady', 'no fault', 1.0, ()),
     Scenario(
@@ -183,6 +203,13 @@
         1.0,
         ((0.3, _lose_service), (0.5, _return_service)),
     ),
+    Scenario(
+        'rolling',
+        'every node is replaced under load, two at a time',
+        1.0,
+        ((0.05, _replace_nodes),),
+        duration_s=75.0,
+    ),
     Scenario(
         'two-faults',
         'a straggler in every shard while connections go silent',
--- a/packages/node/balsamshore_node/api.py
+++ b/packages/node/balsamshore_node/api.py
@@ -9,12 +9,12 @@
 from typing import NamedTuple
 
 import anyio
+
 from balsamshore_core import actions
 from balsamshore_core import addresses
 from balsamshore_core import events
 from balsamshore_core import lifecycle
 from balsamshore_core import targets
-
 from balsamshore_node import advice
 from balsamshore_node import errors
 from balsamshore_node import overview
--- a/packages/node/balsamshore_node/backends.py
+++ b/packages/node/balsamshore_node/backends.py
@@ -13,10 +13,10 @@
 import anyio.abc
 import loguru
 import opentelemetry.trace as otel_trace
+
 from balsamshore_core import actions
 from balsamshore_core import events
 from balsamshore_core.connections import pooling
-
 from balsamshore_node import errors
 from balsamshore_node import telemetry
 from balsamshore_node import transport
--- a/packages/node/balsamshore_node/core.py
+++ b/packages/node/balsamshore_node/core.py
@@ -10,10 +10,10 @@
 import hypercorn.asyncio
 import hypercorn.config
 import loguru
+
 from balsamshore_core import actions
 from balsamshore_core import events
 from balsamshore_core import lifecycle
-
 from balsamshore_node import api
 from balsamshore_node import backends
 from balsamshore_node import environment
--- a/packages/node/balsamshore_node/overview.py
+++ b/packages/node/balsamshore_node/overview.py
@@ -5,7 +5,6 @@
 
 from balsamshore_core import blackboard
 from balsamshore_core import targets
-
 from balsamshore_node import runtime as node_runtime
 
 MIN_ANSWERS = 10
--- a/packages/node/balsamshore_node/peers.py
+++ b/packages/node/balsamshore_node/peers.py
@@ -13,15 +13,15 @@
 import anyio
 import anyio.abc
 import loguru
+
 from balsamshore_core import actions
 from balsamshore_core import events
-from balsamshore_wire import codec
-from balsamshore_wire import errors as wire_errors
-from balsamshore_wire import keys
-
 from balsamshore_node import errors
 from balsamshore_node import runtime as node_runtime
 from balsamshore_node import telemetry
+from balsamshore_wire import codec
+from balsamshore_wire import errors as wire_errors
+from balsamshore_wire import keys
 
 CONNECT_TIMEOUT_S = 1.0
 FETCH_TIMEOUT_S = 2.0
--- a/packages/node/balsamshore_node/readers.py
+++ b/packages/node/balsamshore_node/readers.py
@@ -12,6 +12,7 @@
 import anyio.abc
 import httpx
 import loguru
+
 from balsamshore_core import actions
 from balsamshore_core import configuration
 from balsamshore_core import events
--- a/packages/node/balsamshore_node/runtime.py
+++ b/packages/node/balsamshore_node/runtime.py
@@ -12,12 +12,12 @@
 import anyio
 import loguru
 import opentelemetry.trace as otel_trace
+
 from balsamshore_core import actions
 from balsamshore_core import blackboard
 from balsamshore_core import engine
 from balsamshore_core import events
 from balsamshore_core import traces
-
 from balsamshore_node import environment
 from balsamshore_node import settings
 from balsamshore_node import telemetry
--- a/packages/node/balsamshore_node/settings.py
+++ b/packages/node/balsamshore_node/settings.py
@@ -12,10 +12,10 @@
 from typing import NamedTuple
 
 import expression
-from balsamshore_core import configuration
-from balsamshore_wire import keys
 
+from balsamshore_core import configuration
 from balsamshore_node import errors
+from balsamshore_wire import keys
 
 VARIABLE_PREFIX = 'BALSAMSHORE_'
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
--- a/packages/standins/balsamshore_standins/baseline.py
+++ b/packages/standins/balsamshore_standins/baseline.py
@@ -10,9 +10,9 @@
 import anyio
 import anyio.abc
 import httpx
+
 from balsamshore_node import errors
 from balsamshore_node import transport
-
 from balsamshore_standins import plans
 from balsamshore_standins import serving
 
--- a/packages/standins/balsamshore_standins/load.py
+++ b/packages/standins/balsamshore_standins/load.py
@@ -13,9 +13,9 @@
 import anyio
 import anyio.abc
 import httpx
+
 from balsamshore_node import errors
 from balsamshore_node import transport
-
 from balsamshore_standins import plans
 
 CALLERS = 48
--- a/packages/wire/balsamshore_wire/codec.py
+++ b/packages/wire/balsamshore_wire/codec.py
@@ -11,10 +11,10 @@
 
 import capnp
 import expression
+
 from balsamshore_core import actions
 from balsamshore_core import events
 from balsamshore_core import membership
-
 from balsamshore_wire import errors
 
 MAX_DATAGRAM_BYTES = 8_192
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -11,6 +11,8 @@
 import httpx
 import pytest
 import pytest_bdd
+from pytest_bdd import parsers
+
 from balsamshore_cli import scenarios
 from balsamshore_core import events
 from balsamshore_standins import fleet
@@ -19,7 +21,6 @@
 from balsamshore_standins import truth
 from balsamshore_wire import codec
 from balsamshore_wire import keys
-from pytest_bdd import parsers
 
 SEED = 7
 LEFT = 1
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,9 +8,10 @@
 
 import httpx
 import pytest_bdd
+from pytest_bdd import parsers
+
 from balsamshore_cli import core as cli
 from balsamshore_node import environment
-from pytest_bdd import parsers
 
 pytest_bdd.scenarios('callers.feature')
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,6 +6,7 @@
 import hypothesis
 import hypothesis.strategies as st
 import pytest
+
 from balsamshore_core import configuration
 from balsamshore_standins import plans
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,6 +1,7 @@
 """Connections, crashes and overload, in virtual time."""
 
 import small
+
 from balsamshore_core import quantiles
 from balsamshore_core.connections import pooling
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,6 +6,7 @@
 import hypothesis.strategies as st
 import pytest
 import small
+
 from balsamshore_core import addresses
 from balsamshore_core import events
 from balsamshore_core import targets
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -8,6 +8,7 @@
 import hypothesis.strategies as st
 import pytest
 import small
+
 from balsamshore_cli import core as cli
 from balsamshore_core import actions
 from balsamshore_node import api
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -4,6 +4,7 @@
 import hypothesis.strategies as st
 import promises
 import pytest
+
 from balsamshore_core import addresses
 from balsamshore_core import answers
 from balsamshore_core import quarantine
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -1,6 +1,7 @@
 """Scatter and gather: coverage, snapshots, hedges, retries, outcomes."""
 
 import small
+
 from balsamshore_core import budgets
 from balsamshore_core.connections import pooling
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,6 +3,7 @@
 import hypothesis
 import hypothesis.strategies as st
 import pytest
+
 from balsamshore_core import actions
 from balsamshore_core import events
 from balsamshore_core import membership
