Check addresses in one place, take the process's surroundings in one place

Change: configuration.find_address_fault and environment.take_process serve all; a datagram to an address that is none is logged and dropped. Before and after: the same 33 tests of documents and settings pass.

--- a/packages/cli/balsamshore_cli/__main__.py
+++ b/packages/cli/balsamshore_cli/__main__.py
@@ -1,6 +1,5 @@
 """Entry point of `balsamshore`."""
 
-import os
 import sys
 
 from balsamshore_cli import core
@@ -9,10 +8,7 @@
 
 def run() -> None:
     """Runs one command and exits with its status."""
-    env = environment.Environment(
-        variables=dict(os.environ), stdout=sys.stdout, stderr=sys.stderr
-    )
-    sys.exit(core.main(sys.argv[1:], env).value)
+    sys.exit(core.main(sys.argv[1:], environment.take_process()).value)
 
 
 if __name__ == '__main__':
--- a/packages/core/balsamshore_core/configuration.py
+++ b/packages/core/balsamshore_core/configuration.py
@@ -326,14 +326,20 @@
     return float(value)
 
 
-def _read_address(path: str, value: Any) -> str:
-    if not isinstance(value, str) or not ADDRESS_PATTERN.match(value):
-        raise errors.ConfigurationError(
-            path, f'{value!r} is not an IPv4 address and port like 10.0.0.1:80'
-        )
-    host, port = value.rsplit(':', 1)
+def find_address_fault(text: str) -> str:
+    """Says what is wrong with a `host:port`, or returns ''."""
+    if not ADDRESS_PATTERN.match(text):
+        return 'must be IPv4 address and port, like 10.0.0.1:80'
+    host, port = text.rsplit(':', 1)
     if max(map(int, host.split('.'))) > 255 or not 0 < int(port) < 65536:
-        raise errors.ConfigurationError(
-            path, f'{value!r} has a number out of range'
-        )
+        return 'has a number out of range'
+    return ''
+
+
+def _read_address(path: str, value: Any) -> str:
+    fault = 'must be a string'
+    if isinstance(value, str):
+        fault = find_address_fault(value)
+    if fault:
+        raise errors.ConfigurationError(path, f'{value!r} {fault}')
     return value
--- a/packages/core/balsamshore_core/engine.py
+++ b/packages/core/balsamshore_core/engine.py
@@ -29,7 +29,7 @@
 
 CLOCK_JUMP_S = 3.0
 ACTION_TYPES = frozenset(typing.get_args(actions.Action))
-CONTROLLERS = (
+CONTROLLERS: tuple['Controller', ...] = (
     lifecycle,
     versions,
     membership,
--- a/packages/node/balsamshore_node/environment.py
+++ b/packages/node/balsamshore_node/environment.py
@@ -1,6 +1,8 @@
 """All that the program takes from its surroundings."""
 
 import dataclasses
+import os
+import sys
 import time
 import typing
 from collections.abc import Callable
@@ -23,3 +25,10 @@
     stderr: typing.TextIO
     monotonic: Callable[[], float] = time.monotonic
     wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000
+
+
+def take_process() -> Environment:
+    """Takes the surroundings of this process."""
+    return Environment(
+        variables=dict(os.environ), stdout=sys.stdout, stderr=sys.stderr
+    )
--- a/packages/node/balsamshore_node/peers.py
+++ b/packages/node/balsamshore_node/peers.py
@@ -30,6 +30,12 @@
 MAX_STREAMS = 256
 MAX_OUTBOX = 1_024
 LENGTH = struct.Struct('>I')
+PEER_FAILURES = (
+    OSError,
+    ValueError,
+    anyio.BrokenResourceError,
+    anyio.EndOfStream,
+)
 
 
 class Peers:
@@ -92,10 +98,10 @@
                 self._outbox_filled = anyio.Event()
                 await self._outbox_filled.wait()
             payload, address = self._outbox.popleft()
-            host, port = address.rsplit(':', 1)
             try:
+                host, port = address.rsplit(':', 1)
                 await self._udp.sendto(payload, host, int(port))
-            except (OSError, anyio.BrokenResourceError) as error:
+            except (OSError, ValueError, anyio.BrokenResourceError) as error:
                 loguru.logger.debug('datagram to {}: {!r}', address, error)
 
     async def _receive(self) -> None:
@@ -206,8 +212,8 @@
         self._runtime.finish(answer)
 
     async def _ask(self, peer_address: str, frame: codec.Frame) -> codec.Frame:
-        host, port = peer_address.rsplit(':', 1)
         try:
+            host, port = peer_address.rsplit(':', 1)
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(
                     host, int(port), local_host=self._host
@@ -215,7 +221,7 @@
             async with stream:
                 await self._write_frame(stream, frame)
                 return await self._read_frame(stream)
-        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream) as error:
+        except PEER_FAILURES as error:
             raise errors.PeerError(f'{peer_address}: {error!r}') from error
 
     async def _write_frame(
--- a/packages/node/balsamshore_node/readers.py
+++ b/packages/node/balsamshore_node/readers.py
@@ -83,8 +83,9 @@
 
 def _read_entry(entry: Any) -> events.VmEntry:
     for field in ('address', 'peer_address'):
-        if not configuration.ADDRESS_PATTERN.match(entry[field]):
-            raise ValueError(f'{field} {entry[field]!r} is not host:port')
+        fault = configuration.find_address_fault(entry[field])
+        if fault:
+            raise ValueError(f'{field} {entry[field]!r} {fault}')
     return events.VmEntry(
         str(entry['name']),
         entry['address'],
--- a/packages/node/balsamshore_node/settings.py
+++ b/packages/node/balsamshore_node/settings.py
@@ -104,11 +104,9 @@
 
 
 def _read_address(text: str) -> str:
-    if not configuration.ADDRESS_PATTERN.match(text):
-        raise ValueError('must be IPv4 address and port, like 10.0.0.1:8080')
-    host, port = text.rsplit(':', 1)
-    if max(map(int, host.split('.'))) > 255 or not 0 < int(port) < 65536:
-        raise ValueError('has a number out of range')
+    fault = configuration.find_address_fault(text)
+    if fault:
+        raise ValueError(fault)
     return text
 
 
