Admit by timeouts of whole queries, start low, cap by connections

A canary that still waited for a connection counted as late, so two crashing requests took 10 and 15 servers. Change: a query most of whose shards are late counts as congestion; the limit begins at 6 and is capped by the connections for work of the smallest shard; the shortest time rises by 2% a second, not by answer; a canary is late only once it was sent. Crew alerts (150 ms) are not met while every server is ten times slower: two rounds of 55 ms and a fan-out leave no room.

--- a/packages/core/balsamshore_core/admission.py
+++ b/packages/core/balsamshore_core/admission.py
@@ -16,18 +16,19 @@
 from balsamshore_core import commands
 from balsamshore_core import events
 from balsamshore_core import requestids
+from balsamshore_core.connections import pooling
 
-START_LIMIT = 16.0
+START_LIMIT = 6.0
 MIN_LIMIT = 2.0
-MAX_LIMIT = 256.0
 DECREASE_RATIO = 0.8
 DECREASE_PAUSE_S = 0.1
 CONGESTED_SHARE_OF_TARGET = 0.6
 QUEUED_FACTOR = 2.5
-FLOOR_RISE_RATIO = 1.002
+FLOOR_RISE_PER_S = 0.02
 TYPICAL_SMOOTHING = 0.1
 MAX_WAITING = 512
 MIN_RETRY_AFTER_S = 0.05
+UNTIMED_REASONS = frozenset(('withdrawn', 'quarantined'))
 
 Messages = collections.abc.Iterator[Any]
 
@@ -48,9 +49,7 @@
         yield requestids.refuse(arrival.query_id, 'lease_expired', 1.0)
         return
     section = board.admission
-    gate = section.gates.setdefault(
-        target.index_name, blackboard.Gate(START_LIMIT)
-    )
+    gate = _find_gate(board, target.index_name, now)
     allowed_s = arrival.deadline_s or target.deadline_s
     latest_start = now + max(allowed_s - gate.typical_s, allowed_s / 4)
     wait_s = _expect_wait(gate, latest_start)
@@ -69,6 +68,29 @@
     yield from _admit(board, target.index_name, now)
 
 
+def _find_gate(
+    board: blackboard.Blackboard, index: str, now: float
+) -> blackboard.Gate:
+    gates = board.admission.gates
+    if index not in gates:
+        gates[index] = blackboard.Gate(START_LIMIT, floor_at=now)
+        gates[index].ceiling = max(
+            MIN_LIMIT, pooling.count_usable(board, index)
+        )
+    return gates[index]
+
+
+def _set_ceilings(
+    board: blackboard.Blackboard, message: Any, now: float
+) -> Messages:
+    current = board.configuration.current
+    for index, gate in board.admission.gates.items():
+        if current is not None and index in current.indexes:
+            gate.ceiling = max(MIN_LIMIT, pooling.count_usable(board, index))
+            gate.limit = min(gate.limit, gate.ceiling)
+    yield from ()
+
+
 def _expect_wait(gate: blackboard.Gate, latest_start: float) -> float:
     """Seconds until the gate would reach a query with this latest start."""
     if gate.running < int(gate.limit) and not gate.waiting:
@@ -138,7 +160,7 @@
     gate = section.gates[message.index_name]
     gate.running -= 1
     _record(board, message)
-    if message.answer.outcome == 'complete' or message.congested:
+    if message.answer.reason not in UNTIMED_REASONS:
         _adapt(board, gate, message, now)
     yield actions.Measure(f'latency.{message.class_name}', message.elapsed_s)
     outcome = message.answer.outcome.replace(' ', '_')
@@ -163,7 +185,10 @@
         default=message.started_s,
     )
     gate.typical_s += TYPICAL_SMOOTHING * (message.started_s - gate.typical_s)
-    gate.floor_s = min(gate.floor_s * FLOOR_RISE_RATIO, message.started_s)
+    gate.floor_s *= 1 + FLOOR_RISE_PER_S * (now - gate.floor_at)
+    gate.floor_at = now
+    if message.answer.outcome == 'complete':
+        gate.floor_s = min(gate.floor_s, message.started_s)
     late = gate.typical_s > CONGESTED_SHARE_OF_TARGET * tightest_s
     queued = gate.typical_s > QUEUED_FACTOR * gate.floor_s
     if message.congested or (late and queued):
@@ -171,7 +196,7 @@
             gate.limit = max(MIN_LIMIT, gate.limit * DECREASE_RATIO)
             gate.decreased_at = now
     elif gate.running + 1 >= int(gate.limit):
-        gate.limit = min(MAX_LIMIT, gate.limit + 1.0 / gate.limit)
+        gate.limit = min(gate.ceiling, gate.limit + 1.0 / gate.limit)
 
 
 def _record(
@@ -206,6 +231,8 @@
 
 
 HANDLERS = {
+    commands.ConfigurationAccepted: _set_ceilings,
+    commands.MembersChanged: _set_ceilings,
     commands.QueryCleared: _consider,
     commands.QueryFinished: _finished,
     events.CallerWithdrew: _withdraw,
--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -259,6 +259,8 @@
         waiting: Latest useful start, sequence and arrival, as a heap.
         typical_s: Smoothed time from start to answer.
         floor_s: Shortest such time of late; it rises slowly.
+        floor_at: When that was last brought up to date.
+        ceiling: Connections to the smallest shard; more cannot run.
         decreased_at: When the limit last fell.
     """
 
@@ -269,6 +271,8 @@
     )
     typical_s: float = 0.01
     floor_s: float = 1.0
+    floor_at: float = 0.0
+    ceiling: float = 256.0
     decreased_at: float = -1e9
 
 
--- a/packages/core/balsamshore_core/connections/pooling.py
+++ b/packages/core/balsamshore_core/connections/pooling.py
@@ -43,6 +43,21 @@
     return limit // (fleet + OVERLAP_RESERVE_VMS)
 
 
+def count_usable(board: blackboard.Blackboard, index: str) -> int:
+    """Connections for work to the smallest shard of an index."""
+    current = board.configuration.current
+    assert current is not None
+    pools = board.connections.pools
+    return min(
+        sum(
+            max(1, pools[name].share - SPARE_CONNECTIONS)
+            for name in shard.replicas
+            if name in pools
+        )
+        for shard in current.indexes[index][0].shards.values()
+    )
+
+
 def begin(board: blackboard.Blackboard, now: float) -> Messages:
     """Starts the sweep that reads health and refills pools."""
     yield commands.StartTimer(
--- a/packages/core/balsamshore_core/queries.py
+++ b/packages/core/balsamshore_core/queries.py
@@ -23,7 +23,8 @@
 from balsamshore_core import snapshots
 
 MAX_RESTARTS = 1
-CANARY_WAIT_FACTOR = 1.0
+CANARY_WAIT_FACTOR = 2.5
+CANARY_RECHECK_S = 0.02
 MAX_CANARIES = 2
 FREE_REFUSALS = frozenset(('draining', 'snapshot'))
 CRASH_CAUSES = frozenset(('reset', 'closed'))
@@ -116,8 +117,15 @@
         return
     if message.mark != query.restarts:
         return
-    live = sum(bool(shard.live) for shard in query.shards.values())
-    if live < MAX_CANARIES and live < len(query.shards):
+    live = [
+        board.queries.attempts[attempt_id]
+        for shard in query.shards.values()
+        for attempt_id in shard.live
+    ]
+    canaries = {attempt.shard for attempt in live}
+    if any(attempt.state == 'waiting' for attempt in live):
+        yield commands.StartTimer(now + CANARY_RECHECK_S, message)
+    elif len(canaries) < min(MAX_CANARIES, len(query.shards)):
         yield from _launch_canary(board, query, now)
     else:
         yield from _scatter(board, query, now)
@@ -432,6 +440,8 @@
 ) -> Messages:
     query = board.queries.queries.get(int(message.key))
     if query is not None:
+        most_late = 2 * query.open_shards > len(query.shards)
+        query.congested = query.congested or most_late
         yield from _finish(board, query, 'timeout', now)
 
 
