Call a connection silent only after a cancel went unanswered

Cause: reading the code. A dropped attempt's connection was closed as silent 60 ms later even when no connection had been free to carry its cancel; each such close held a place of the share for 30 s, so a busy node lost capacity to servers that were merely slow. Change: the wait counts from the cancel that was sent, 250 ms; reconnect waits are one function, with a longer limit for stalled servers; the fakes answer cancels. Before: the new test closed every connection of a slow site.

--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -105,6 +105,7 @@
     index: str = ''
     shard: str = ''
     dropped_at: float = 0.0
+    cancelled_at: float = 0.0
     doubted: bool = False
 
 
--- a/packages/core/balsamshore_core/connections/dispatch.py
+++ b/packages/core/balsamshore_core/connections/dispatch.py
@@ -95,6 +95,7 @@
     connection.index = wanted.index_name
     connection.shard = wanted.shard
     connection.dropped_at = 0.0
+    connection.cancelled_at = 0.0
     connection.doubted = False
     pool.reserved = wanted.alone
     board.connections.by_attempt[wanted.attempt_id] = connection_id
@@ -159,7 +160,7 @@
 ) -> Messages:
     pool = board.connections.pools.get(message.server)
     if pool is not None:
-        yield from _send_cancels(board, pool)
+        yield from _send_cancels(board, pool, now)
         yield from _serve_waiting(board, pool, now)
 
 
@@ -209,7 +210,7 @@
     )
     if message.cancel:
         pool.cancels.append(message.attempt_id)
-        yield from _send_cancels(board, pool)
+        yield from _send_cancels(board, pool, now)
         if pool.cancels:
             yield from pooling.open_more(
                 board, pool, len(pool.members) + 1, now
@@ -217,14 +218,17 @@
 
 
 def _send_cancels(
-    board: blackboard.Blackboard, pool: blackboard.ServerPool
+    board: blackboard.Blackboard, pool: blackboard.ServerPool, now: float
 ) -> Messages:
     """Sends the cancels that wait, if a connection is free for them."""
     if not pool.idle:
         return
+    section = board.connections
     waiting, pool.cancels = pool.cancels, []
     for attempt_id in waiting:
-        if attempt_id in board.connections.by_attempt:
+        connection_id = section.by_attempt.get(attempt_id)
+        if connection_id is not None:
+            section.connections[connection_id].cancelled_at = now
             yield actions.SendCancel(pool.idle[-1], attempt_id)
 
 
--- a/packages/core/balsamshore_core/connections/pooling.py
+++ b/packages/core/balsamshore_core/connections/pooling.py
@@ -21,6 +21,7 @@
 SPARE_CONNECTIONS = 1
 REOPEN_BASE_S = 0.2
 REOPEN_MAX_S = 1.5
+STALLED_REOPEN_MAX_S = 5.0
 MAX_OPENING_PER_SERVER = 2
 GHOST_HOLD_S = 30.0
 GHOST_MIN_HOLD_S = 5.0
@@ -204,9 +205,7 @@
     attempt_id = connection.attempt_id
     busy = connection.state == 'busy'
     if message.cause != 'closed' or busy:
-        pool.failures += 1
-        delay = min(REOPEN_MAX_S, REOPEN_BASE_S * 2 ** min(pool.failures, 8))
-        pool.reopen_at = now + delay * (0.5 + board.rng.random() / 2)
+        postpone_opening(board, pool, now)
     _remove(board, connection)
     if busy and message.written:
         running = (attempt_id,) + tuple(
@@ -223,6 +222,18 @@
         )
 
 
+def postpone_opening(
+    board: blackboard.Blackboard,
+    pool: blackboard.ServerPool,
+    now: float,
+    longest_s: float = REOPEN_MAX_S,
+) -> None:
+    """Lengthens the wait before the next connection, with jitter."""
+    pool.failures += 1
+    delay = min(longest_s, REOPEN_BASE_S * 2 ** min(pool.failures, 8))
+    pool.reopen_at = now + delay * (0.5 + board.rng.random() / 2)
+
+
 def _connect_overdue(
     board: blackboard.Blackboard, message: events.TimerDue, now: float
 ) -> Messages:
--- a/packages/core/balsamshore_core/connections/silence.py
+++ b/packages/core/balsamshore_core/connections/silence.py
@@ -19,6 +19,7 @@
 
 SILENCE_MIN_S = 0.06
 SILENCE_GIVE_UP_S = 5.0
+CANCEL_WAIT_S = 0.25
 DOUBT_WINDOW_S = 0.5
 DOUBT_SERVERS = 3
 
@@ -34,9 +35,7 @@
         return
     pool = section.pools[connection.server]
     if connection.dropped_at:
-        waited = now - connection.dropped_at
-        seen = pooling.any_progress_since(board, pool, connection.dropped_at)
-        if waited > SILENCE_GIVE_UP_S or (waited > SILENCE_MIN_S and seen):
+        if _is_silent(board, connection, pool, now):
             yield from _give_up_silent(board, connection, now)
             return
     elif not connection.doubted:
@@ -51,6 +50,21 @@
     )
 
 
+def _is_silent(
+    board: blackboard.Blackboard,
+    connection: blackboard.Connection,
+    pool: blackboard.ServerPool,
+    now: float,
+) -> bool:
+    """Tells whether even a cancel brought no reply on the connection."""
+    if now - connection.dropped_at > SILENCE_GIVE_UP_S:
+        return True
+    cancelled_at = connection.cancelled_at
+    if not cancelled_at or now - cancelled_at < CANCEL_WAIT_S:
+        return False
+    return pooling.any_progress_since(board, pool, cancelled_at)
+
+
 def _note_doubt(
     board: blackboard.Blackboard,
     connection: blackboard.Connection,
@@ -132,11 +146,7 @@
         board, pool, connection.sent_at
     ):
         yield commands.ServerStalled(pool.server)
-        pool.failures += 1
-        pool.reopen_at = now + min(
-            pooling.REOPEN_MAX_S,
-            pooling.REOPEN_BASE_S * 2 ** min(pool.failures, 8),
-        )
+        pooling.postpone_opening(board, pool, now, pooling.STALLED_REOPEN_MAX_S)
     else:
         yield from pooling.open_more(board, pool, pooling.WARM_CONNECTIONS, now)
 
--- a/packages/standins/balsamshore_standins/fakes.py
+++ b/packages/standins/balsamshore_standins/fakes.py
@@ -91,6 +91,7 @@
         self.steps = 0
         self.engine_s = 0.0
         self.forwarded: dict[int, tuple[FakeNode, int]] = {}
+        self.running: dict[int, actions.SendAttempt] = {}
         self.armed_at: float | None = None
 
 
@@ -299,7 +300,24 @@
         if action.body in server.crash_bodies:
             self.go_down(action.server, server.restart_s)
             return
-        self.at(server.service_s, lambda: self._reply(node, action, ''))
+        node.running[action.attempt_id] = action
+        self.at(server.service_s, lambda: self._finish(node, action))
+
+    def _finish(self, node: FakeNode, action: actions.SendAttempt) -> None:
+        if node.running.pop(action.attempt_id, None) is not None:
+            self._reply(node, action, '')
+
+    def _cancel(self, node: FakeNode, action: actions.SendCancel) -> None:
+        """The server answers a cancelled attempt at once."""
+        connection_id = action.connection_id
+
+        def stop() -> None:
+            if connection_id in node.open and connection_id not in node.silent:
+                cancelled = node.running.pop(action.attempt_id, None)
+                if cancelled is not None:
+                    self._reply(node, cancelled, '')
+
+        self.at(2 * HOP_S, stop)
 
     def _reply(
         self, node: FakeNode, action: actions.SendAttempt, refusal: str
@@ -463,7 +481,7 @@
     actions.OpenConnection: World._open,
     actions.CloseConnection: World._close,
     actions.SendAttempt: World._send,
-    actions.SendCancel: World._ignore,
+    actions.SendCancel: World._cancel,
     actions.SendHealthCheck: World._check,
     actions.ReleaseShard: World._release,
     actions.AnswerCaller: World._answer,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -31,6 +31,20 @@
     assert not any(replica.stalled for replica in replicas)
 
 
+def test_a_slow_connection_without_a_cancel_is_not_taken_for_silent():
+    world, (node,) = small.start_world()
+    small.warm_up(world, node)
+    for server in world.servers.values():
+        server.service_s = 0.4
+    opened = set(node.open)
+    for number in range(200):
+        world.query(node, 'quick', b'"%d"' % number)
+        world.run(0.02)
+    assert opened <= set(node.open)
+    ghosts = [pool.ghosts for pool in node.board.connections.pools.values()]
+    assert not any(ghosts)
+
+
 def test_a_stalled_server_is_left_alone_and_its_connections_not_churned():
     world, (node,) = small.start_world()
     small.warm_up(world, node)
