Let the shutdown scenario fail when a request is cut

Cause: broken on purpose (a node that leaves at once), the scenario still passed: callers went on to another VM and hid the cut. Change: it also checks that no caller had to try another VM. Before: passes with the broken rule. After: fails with it (103 requests cut) and passes without.

--- a/tests/features/promises.feature
+++ b/tests/features/promises.feature
@@ -20,6 +20,7 @@
     And 1 second in, one node is asked to leave
     Then no promise is broken
     And every request is answered
+    And no caller had to try another VM
     And the node that left ended by itself with status 0
 
   Scenario: A second signal ends a leaving node at once
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -308,6 +308,12 @@
     assert lost == []
 
 
+@pytest_bdd.then('no caller had to try another VM')
+def check_uncut(scene):
+    cut = [entry for entry in scene.answered if entry.tries != 1]
+    assert cut == []
+
+
 @pytest_bdd.then(
     parsers.parse('the node that left ended by itself with status {status:d}')
 )
