Log a fingerprint by which the repeats of a request are recognized

Change: answer lines carry a hash of caller, method, host, path and body; 'explain' takes it in place of a request id. No decision uses it yet.

--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -48,6 +48,9 @@
 ) -> status.ExitStatus:
     """Writes the log entries about one request, oldest entry first.
 
+    Given a fingerprint in place of a request id, it writes the entries about
+    all repeats of a request.
+
     Raises:
         errors.CommandError: A file cannot be read, or no log line has the
             request id.
@@ -61,7 +64,7 @@
             raise errors.CommandError(f'{file}: {error.strerror}') from error
     if not entries:
         raise errors.CommandError(
-            f'no log line has request id {request_id!r}: only a sample of '
+            f'no log line has request id or fingerprint {request_id!r}: only a sample of '
             'the complete answers in time is logged; pass the logs of every '
             'node'
         )
@@ -80,7 +83,7 @@
             fields = json.loads(line[start:])
         except ValueError:
             continue
-        if fields.get('request_id') == request_id:
+        if request_id in (fields.get('request_id'), fields.get('fingerprint')):
             entries.append(fields)
     return entries
 
@@ -100,6 +103,8 @@
     text += f' after {line.get("took_ms")} ms'
     if explanation:
         text += f': {explanation}'
+    if line.get('fingerprint'):
+        text += f'; fingerprint {line["fingerprint"]}'
     if line.get('retry_after_s'):
         text += f'; retry after {line["retry_after_s"]} s'
     output = [
--- a/packages/node/balsamshore_node/forwarding/callers.py
+++ b/packages/node/balsamshore_node/forwarding/callers.py
@@ -58,6 +58,7 @@
         busy: Whether a request is being served.
         closing: Whether the connection closes after the current request.
         exchange_id: The exchange of the current request, or 0.
+        caller: Address of the caller, without the port.
     """
 
     __slots__ = (
@@ -68,6 +69,7 @@
         '_reader',
         '_timer',
         'busy',
+        'caller',
         'closing',
         'exchange_id',
         'listener',
@@ -88,10 +90,13 @@
         self.busy = False
         self.closing = False
         self.exchange_id = 0
+        self.caller = ''
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the idle timer; see `asyncio`."""
         self.transport = typing.cast(asyncio.Transport, transport)
+        peer = transport.get_extra_info('peername')
+        self.caller = peer[0] if peer else ''
         sockets.enable_dead_peer_detection(transport.get_extra_info('socket'))
         self.listener.connections.add(self)
         self._start_timer(self._limits.idle_timeout_s)
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -17,6 +17,7 @@
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import catalog as catalogs
 from balsamshore_core.forwarding import exchanges
+from balsamshore_core.forwarding import fingerprints
 from balsamshore_core.forwarding import fleet as fleets
 from balsamshore_core.forwarding import follower as followers
 from balsamshore_core.forwarding import placement
@@ -58,6 +59,7 @@
     request: dialects.CallerRequest
     route: routes.Route
     arrived_at: float
+    fingerprint: str
 
 
 class Host:
@@ -215,8 +217,15 @@
         exchange_id = self._next_exchange_id
         self._next_exchange_id += 1
         connection.exchange_id = exchange_id
+        fingerprint = fingerprints.compute_fingerprint(
+            connection.caller,
+            request.method,
+            request.host,
+            request.target,
+            request.body,
+        )
         self._pending[exchange_id] = PendingRequest(
-            connection, request, route, now
+            connection, request, route, now, fingerprint
         )
         self._perform(
             self.exchanges.start(
@@ -300,6 +309,7 @@
         loguru.logger.bind(
             event='answer',
             request_id=pending.request.request_id,
+            fingerprint=pending.fingerprint,
             route=pending.route.name,
             version=table.version if table else 0,
             revision=self.catalog.revision,
