--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -64,9 +64,9 @@
             raise errors.CommandError(f'{file}: {error.strerror}') from error
     if not entries:
         raise errors.CommandError(
-            f'no log line has request id or fingerprint {request_id!r}: only a sample of '
-            'the complete answers in time is logged; pass the logs of every '
-            'node'
+            f'no log line has request id or fingerprint {request_id!r}: only '
+            'a sample of the complete answers in time is logged; pass the '
+            'logs of every node'
         )
     for line in sorted(entries, key=lambda line: str(line.get('time', ''))):
         env.stdout.write('\n'.join(_describe(line)) + '\n')
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -29,6 +29,7 @@
 HOST = 'x.example'
 RECORD_BYTES = 16
 GRACE_S = 6
+CRASH_DOWN_S = 0.6
 PROCESSING_S = {'slow': 0.4, 'slower': 2.5}  # by mode of the server
 
 
@@ -42,6 +43,14 @@
     body: bytes
 
 
+class Crash(NamedTuple):
+    """A server's crash under a request; seconds of the event loop's clock."""
+
+    at: float
+    server_id: str
+    request_id: str
+
+
 class CallerResponse(NamedTuple):
     """A caller's response; status 0 if the connection closed early."""
 
@@ -64,6 +73,10 @@
             reply), `late_extra` (a second response after the reply), `garbage`
             (not HTTP), `unframed` (no content length), `broken` (truncated
             body), `slow` or `slower`.
+        crashing_targets: Targets of requests that crash each server that
+            executes them; the server is back after `CRASH_DOWN_S` with a new
+            `born`.
+        crashes: Ledger of all crashes.
     """
 
     def __init__(self, folder, network='127.77'):
@@ -79,11 +92,15 @@
         self.executed = []
         self.store_host = f'{network}.0.1'
         self.server_modes = {}
+        self.crashing_targets = set()
+        self.crashes = []
         self.servers = {}
+        self._server_sockets = {}
         self.processes = {}
         self.program = ('-m', 'balsamshore_platform')
         self.lines = {}
         self._listeners = []
+        self._tasks = set()
         self._changed = asyncio.Condition()
         self._next_request = 1
 
@@ -182,7 +199,21 @@
         async def answer(raw, peer):
             return await self._answer_server(server_id, service, raw)
 
-        await self._listen(host, SERVER_PORT, answer)
+        self._server_sockets[server_id] = await self._listen(
+            host, SERVER_PORT, answer
+        )
+        await self.put(f'servers/{server_id}', entry)
+
+    async def crash_server(self, server_id, down_s=CRASH_DOWN_S):
+        """Ends all connections of a server, which starts again later."""
+        listening = self._server_sockets[server_id]
+        if listening.server is None:
+            return
+        listening.close()
+        await asyncio.sleep(down_s)
+        entry = self.servers[server_id]
+        entry['born'] += 1
+        await listening.open()
         await self.put(f'servers/{server_id}', entry)
 
     async def drain(self, server_id):
@@ -205,6 +236,13 @@
                 request_id, server_id, service, raw.target.decode(), body
             )
         )
+        if raw.target.decode() in self.crashing_targets:
+            now = asyncio.get_running_loop().time()
+            self.crashes.append(Crash(now, server_id, request_id))
+            task = asyncio.create_task(self.crash_server(server_id))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(60)
         await asyncio.sleep(PROCESSING_S.get(mode, 0.005))
         seal = f'{server_id}.{request_id}'
         payload = b''.join(
@@ -350,16 +388,46 @@
             writer.close()
 
     async def _listen(self, host, port, answer):
-        async def serve(reader, writer):
-            peer = writer.get_extra_info('peername')[0]
-            try:
-                await serve_requests(reader, writer, answer, peer)
-            except (OSError, asyncio.CancelledError):
-                return
-            finally:
-                writer.close()
+        listening = Listening(host, port, answer)
+        await listening.open()
+        self._listeners.append(listening)
+        return listening
+
+
+class Listening:
+    """One listening address and its connections."""
+
+    def __init__(self, host, port, answer):
+        self.host = host
+        self.port = port
+        self.answer = answer
+        self.server = None
+        self._tasks = set()
+
+    async def open(self):
+        self.server = await asyncio.start_server(
+            self._serve, self.host, self.port
+        )
 
-        self._listeners.append(await asyncio.start_server(serve, host, port))
+    def close(self):
+        """Ends all connections; new ones are refused."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        peer = writer.get_extra_info('peername')[0]
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await serve_requests(reader, writer, self.answer, peer)
+        except (OSError, asyncio.CancelledError):
+            return
+        finally:
+            self._tasks.discard(task)
+            writer.close()
 
 
 CLOSE_MARKER = b'\x00cut'  # suffix of an answer that closes its connection
