--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -19,6 +19,8 @@
     'crossed': 'a backend server sent the answer to another request',
     'refused': 'every backend server that was tried refused it',
     'failed': 'a backend server answered with a failure',
+    'truncated': 'a backend server broke off its answer',
+    'quarantined': 'backend servers crashed under this request before',
     'unreachable': 'no backend server could be reached',
     'stopping': 'the node was shutting down and had no time left',
 }
@@ -37,6 +39,9 @@
     'closed': 'failed: the server closed the connection without an answer',
     'protocol': 'got an invalid HTTP response',
     'crossed': 'got the answer to another request',
+    'truncated': 'failed: the server broke off its answer',
+    'held': 'waited: a server was lost under this request',
+    'alone': 'was sent alone: a server was lost under this request',
     'unreachable': 'could not be sent: the server was unreachable',
     'part_failed': 'failed without further attempts',
     'missing': 'had no answer in time',
--- a/packages/core/balsamshore_core/forwarding/actions.py
+++ b/packages/core/balsamshore_core/forwarding/actions.py
@@ -53,6 +53,12 @@
     attempt_id: int
 
 
+class Check(NamedTuple):
+    """Find out whether a server crashed, by a new connection to it."""
+
+    entry: servers.ServerEntry
+
+
 class Step(NamedTuple):
     """One decision about a request, kept for the log.
 
@@ -97,4 +103,4 @@
     steps: tuple[Step, ...] = ()
 
 
-Action = Send | Close | Answer
+Action = Send | Close | Check | Answer
--- a/packages/core/balsamshore_core/forwarding/answers.py
+++ b/packages/core/balsamshore_core/forwarding/answers.py
@@ -47,7 +47,10 @@
         key,
         'not run',
         reason,
-        retry_after_s=choose_retry_delay(exchange.deadline_at - now, rng),
+        retry_after_s=max(
+            choose_retry_delay(exchange.deadline_at - now, rng),
+            round(exchange.stopped_until - now, 3),
+        ),
         steps=steps,
     )
 
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -6,6 +6,7 @@
 import typing
 
 from balsamshore_core.forwarding import actions
+from balsamshore_core.forwarding import quarantine as quarantines
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
@@ -63,12 +64,14 @@
 
     Attributes:
         abandoned: Whether its reply is no longer needed.
+        alone: Whether it was sent while its request was a suspect.
         overdue: Whether its hedge delay has passed, so that it is included
             in the server's number of overdue attempts.
     """
 
     __slots__ = (
         'abandoned',
+        'alone',
         'attempt_id',
         'overdue',
         'part',
@@ -77,9 +80,15 @@
     )
 
     def __init__(
-        self, attempt_id: int, part: Part, server: servers.Server, now: float
+        self,
+        attempt_id: int,
+        part: Part,
+        server: servers.Server,
+        now: float,
+        alone: bool = False,
     ):
         self.attempt_id = attempt_id
+        self.alone = alone
         self.part = part
         self.server = server
         self.sent_at = now
@@ -95,6 +104,8 @@
             is answered without waiting for more parts.
         running: Number of attempts that a server may be executing.
         may_have_run: Whether a finished attempt may have been executed.
+        fingerprint: What its repeats have in common, or '' if unknown.
+        stopped_until: Until when the request is quarantined.
     """
 
     __slots__ = (
@@ -103,6 +114,7 @@
         'covered',
         'deadline_at',
         'exchange_id',
+        'fingerprint',
         'last_reply',
         'may_have_run',
         'open_parts',
@@ -110,6 +122,7 @@
         'route',
         'running',
         'steps',
+        'stopped_until',
     )
 
     def __init__(
@@ -120,8 +133,11 @@
         now: float,
         deadline_at: float,
         answer_at: float,
+        fingerprint: str = '',
     ):
         self.exchange_id = exchange_id
+        self.fingerprint = fingerprint
+        self.stopped_until = now
         self.route = route
         self.arrived_at = now
         self.deadline_at = deadline_at
@@ -181,6 +197,8 @@
         slowness_reports: Slowness, by id, of the servers found slow since
             the last report to other nodes; `exchanges` adds entries and the
             host clears them when it sends the report.
+        quarantine: Requests under which servers crashed; `exchanges` reports
+            losses and answers, the host exchanges notices with other nodes.
         counters: Numbers of events by name; updated by `catalog`, `exchanges`
             and the host.
     """
@@ -201,6 +219,9 @@
         default_factory=ExchangeSection
     )
     slowness_reports: dict[str, float] = dataclasses.field(default_factory=dict)
+    quarantine: quarantines.Quarantine = dataclasses.field(
+        default_factory=quarantines.Quarantine
+    )
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -15,6 +15,7 @@
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import delays
+from balsamshore_core.forwarding import quarantine
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
@@ -27,6 +28,9 @@
 MAX_SENDS = 5  # attempts for one part, refusals included
 RESERVED_CONNECTIONS = 2  # of a server's limit, for overlapping restarts
 MAX_CONNECTIONS_PER_SERVER = 16  # of one node
+CRASH_CAUSES = frozenset(('reset', 'closed'))  # ends without any reply
+# A suspect is hedged late: a crash shows before its server could be just slow.
+SUSPECT_HEDGE_DELAYS = 3.0
 
 
 class Exchanges:
@@ -38,6 +42,7 @@
         self._timers = timers.Timers()
         self._wait_queues = waitqueues.WaitQueues()
         self._delays = delays.Delays()
+        self._held: dict[str, list[boards.Part]] = {}
 
     def start(
         self,
@@ -45,6 +50,7 @@
         route: routes.Route,
         deadline_s: float,
         now: float,
+        fingerprint: str = '',
     ) -> boards.Actions:
         """Starts an exchange.
 
@@ -53,6 +59,8 @@
             route: The route in the current table.
             deadline_s: How long the caller waits, in seconds.
             now: Monotonic seconds.
+            fingerprint: What repeats of the request have in common; without
+                one it is never quarantined.
         """
         services = route.shards
         if not services:
@@ -65,17 +73,19 @@
             now,
             now + max(0.0, allowed_s - DEADLINE_MARGIN_S),
             now + min(route.objective_s, allowed_s) - delays.ANSWER_MARGIN_S,
+            fingerprint,
         )
         self._state.exchanges[exchange_id] = exchange
         output: boards.Actions = []
         self._board.counters['requests'] += 1
-        refusal = self._find_refusal(exchange)
+        refusal = self._find_refusal(exchange, now)
         if refusal:
             self._finish(exchange, refusal, now, output)
             return output
         for part in exchange.parts:
             self._get_retry_budget(part.service).record_first_attempt(now)
-            self._dispatch_part(part, 'first', now, output)
+            if part.is_open():
+                self._dispatch_part(part, 'first', now, output)
         if exchange_id in self._state.exchanges:
             self._timers.start(exchange.deadline_at, 'deadline', exchange_id)
             if route.shards:
@@ -103,9 +113,12 @@
             self._board.counters['failed_by_server'] += 1
         else:
             self._record_latency(attempt, now)
+            fingerprint = part.exchange.fingerprint
+            if self._board.quarantine.record_answer(fingerprint, now):
+                self._board.counters['suspects_cleared'] += 1
         if not attempt.abandoned:
             self._evaluate_reply(attempt, reply, now, output)
-        self._send_waiting(part.service, now, output)
+        self._continue_waiting(part, now, output)
         return output
 
     def handle_loss(
@@ -129,6 +142,8 @@
         part = attempt.part
         server_id = attempt.server.entry.server_id
         self._record_loss(attempt.server, written, cause, now)
+        if written and cause in CRASH_CAUSES:
+            self._suspect(attempt, now, output)
         if not attempt.abandoned:
             exchange = part.exchange
             exchange.record_step(now, cause, part.service, server_id)
@@ -138,7 +153,37 @@
             else:
                 part.sends -= 1
             self._retry_part(part, cause, written, now, output)
-        self._send_waiting(part.service, now, output)
+        self._continue_waiting(part, now, output)
+        return output
+
+    def handle_check(
+        self, server_id: str, born_ms: int, crashed: bool, now: float
+    ) -> boards.Actions:
+        """Handles the result of a check.
+
+        Args:
+            server_id: The server.
+            born_ms: Its incarnation.
+            crashed: Whether it refused a new connection.
+            now: Monotonic seconds.
+        """
+        output: boards.Actions = []
+        self._board.counters['crashes_confirmed'] += crashed
+        for fingerprint in self._board.quarantine.record_check(
+            server_id, born_ms, crashed, now
+        ):
+            self._release(fingerprint, now, output)
+        return output
+
+    def apply_notices(
+        self,
+        notices: collections.abc.Iterable[quarantine.Notice],
+        now: float,
+    ) -> boards.Actions:
+        """Applies another node's notices about requests that crash servers."""
+        output: boards.Actions = []
+        for fingerprint in self._board.quarantine.apply_notices(notices, now):
+            self._release(fingerprint, now, output)
         return output
 
     def withdraw(self, exchange_id: int, now: float) -> boards.Actions:
@@ -157,10 +202,10 @@
             part.live.clear()
             if part.is_open():
                 part.failure = 'withdrawn'
-        services = [part.service for part in exchange.parts]
+        parts = exchange.parts
         _release_parts(exchange)
-        for service in services:
-            self._send_waiting(service, now, output)
+        for part in parts:
+            self._continue_waiting(part, now, output)
         return output
 
     def stop(self, now: float) -> boards.Actions:
@@ -196,6 +241,10 @@
         """Returns how many callers are waiting for an answer."""
         return len(self._state.exchanges)
 
+    def count_held(self) -> int:
+        """Returns how many parts of suspects wait for their turn."""
+        return sum(map(len, self._held.values()))
+
     def find_connection_share(self, service: str) -> int:
         """Returns the connections that this node may hold to a server."""
         table = self._board.table
@@ -221,8 +270,10 @@
             self._send_waiting(service, now, output)
         return output
 
-    def _find_refusal(self, exchange: boards.Exchange) -> str:
+    def _find_refusal(self, exchange: boards.Exchange, now: float) -> str:
         """Returns why a request cannot be served now, or ''."""
+        if self._is_stopped(exchange, now):
+            return 'quarantined'
         by_service = self._board.registry.by_service
         reachable = sum(
             1 for part in exchange.parts if by_service.get(part.service)
@@ -241,13 +292,21 @@
     ) -> bool:
         """Sends a part to the best server.
 
-        If its service has no servers, the part fails unless an attempt is
-        live. If each server was tried or is at the connection limit, the part
-        waits, or is not hedged.
+        If its service has no servers or the request is quarantined, the part
+        fails unless an attempt is live. If each server was tried or is at the
+        connection limit, or the request may only run alone, the part waits, or
+        is not hedged.
 
         Returns:
             Whether the part was sent.
         """
+        if self._is_stopped(part.exchange, now):
+            if not part.live:
+                self._fail_part(part, 'quarantined', now, output)
+            return False
+        if kind != 'hedge' and self._must_hold(part.exchange):
+            self._hold(part, now)
+            return False
         candidates = self._board.registry.by_service.get(part.service)
         if not candidates:
             if not part.live:
@@ -277,6 +336,7 @@
             self.find_connection_share(part.service),
             now,
             self._board.rng,
+            self._board.quarantine.is_suspected(part.exchange.fingerprint),
         )
 
     def _send_attempt(
@@ -290,9 +350,11 @@
         exchange = part.exchange
         attempt_id = self._state.next_attempt_id
         self._state.next_attempt_id += 1
-        attempt = boards.Attempt(attempt_id, part, server, now)
+        alone = self._board.quarantine.is_suspected(exchange.fingerprint)
+        attempt = boards.Attempt(attempt_id, part, server, now, alone)
         self._state.attempts[attempt_id] = attempt
         server.in_flight += 1
+        server.suspects += alone
         exchange.running += 1
         server_id = server.entry.server_id
         part.live.append(attempt)
@@ -330,6 +392,12 @@
         self, service: str, now: float, output: boards.Actions
     ) -> None:
         def send(part: boards.Part) -> bool:
+            if self._is_stopped(part.exchange, now):
+                self._fail_part(part, 'quarantined', now, output)
+                return True
+            if self._must_hold(part.exchange):
+                self._hold(part, now)
+                return True
             server = self._choose_server(part, now)
             if server is None:
                 return False
@@ -338,6 +406,82 @@
 
         self._wait_queues.send_waiting(service, now, send)
 
+    def _continue_waiting(
+        self, part: boards.Part, now: float, output: boards.Actions
+    ) -> None:
+        """Sends what waited for the end of an attempt of a part."""
+        self._send_waiting(part.service, now, output)
+        if self._held:
+            self._release(part.exchange.fingerprint, now, output)
+
+    def _suspect(
+        self, attempt: boards.Attempt, now: float, output: boards.Actions
+    ) -> None:
+        """Suspects a request of having crashed its server."""
+        exchange = attempt.part.exchange
+        if not exchange.fingerprint or exchange.covered:
+            return
+        entry = attempt.server.entry
+        if self._board.quarantine.record_loss(
+            exchange.fingerprint,
+            entry.server_id,
+            entry.born_ms,
+            attempt.alone,
+            now,
+        ):
+            self._board.counters['crash_checks'] += 1
+            output.append(actions.Check(entry))
+
+    def _is_stopped(self, exchange: boards.Exchange, now: float) -> bool:
+        """Returns whether a request is quarantined; notes until when."""
+        ends_at = self._board.quarantine.find_stop_end(
+            exchange.fingerprint, now
+        )
+        if ends_at is None:
+            return False
+        exchange.stopped_until = ends_at
+        return True
+
+    def _must_hold(self, exchange: boards.Exchange) -> bool:
+        """Returns whether a suspect must not be sent yet."""
+        fingerprint = exchange.fingerprint
+        if not self._board.quarantine.is_suspected(fingerprint):
+            return False
+        return self._board.quarantine.may_be_stopped_soon(fingerprint) or any(
+            attempt.part.exchange.fingerprint == fingerprint
+            for attempt in self._state.attempts.values()
+        )
+
+    def _hold(self, part: boards.Part, now: float) -> None:
+        part.waiting = True
+        fingerprint = part.exchange.fingerprint
+        self._held.setdefault(fingerprint, []).append(part)
+        part.exchange.record_step(now, 'held', part.service)
+
+    def _release(
+        self, fingerprint: str, now: float, output: boards.Actions
+    ) -> None:
+        """Sends the held parts of a request that may be sent now."""
+        for part in self._held.pop(fingerprint, ()):
+            part.waiting = False
+            if part.is_open():
+                self._dispatch_part(part, 'alone', now, output)
+
+    def _defer_suspects_hedge(
+        self, attempt: boards.Attempt, now: float
+    ) -> bool:
+        """Returns whether a suspect is not hedged, or not yet."""
+        exchange = attempt.part.exchange
+        if not self._board.quarantine.may_hedge(exchange.fingerprint):
+            return True
+        hedge_at = attempt.sent_at + SUSPECT_HEDGE_DELAYS * (
+            self._delays.find_hedge_delay(exchange.route)
+        )
+        if now >= hedge_at:
+            return False
+        self._timers.start(hedge_at, 'hedge', attempt.attempt_id)
+        return True
+
     def _evaluate_reply(
         self,
         attempt: boards.Attempt,
@@ -441,6 +585,8 @@
             return
         if part.runs + len(part.live) >= route.max_attempts:
             return
+        if attempt.alone and self._defer_suspects_hedge(attempt, now):
+            return
         budget = self._get_retry_budget(part.service)
         if not budget.allows_hedge(now, self._board.senders):
             self._board.counters['hedge_denied'] += 1
@@ -473,7 +619,7 @@
             attempt, now, now - attempt.sent_at > MAX_SERVER_PAUSE_S
         )
         self._close(attempt, now, output)
-        self._send_waiting(attempt.part.service, now, output)
+        self._continue_waiting(attempt.part, now, output)
 
     def _finish(
         self,
@@ -512,6 +658,7 @@
             return None
         server = attempt.server
         server.in_flight -= 1
+        server.suspects -= attempt.alone
         attempt.part.exchange.running -= 1
         if attempt.overdue:
             server.overdue -= 1
--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -33,6 +33,7 @@
 INITIAL_SENDERS = 10  # assumed until a new process knows the other nodes
 STARTUP_S = 4.0  # covers discovery and the load that the start causes
 PEAK_RETENTION_S = 30.0  # how long the number of senders may not decrease
+RANDOM_MESSAGES = 2  # of `tick`, the first ones; their recipients are random
 MAX_TICK_GAP_S = 1.0  # after a longer pause, silence does not count as failure
 
 
@@ -255,6 +256,17 @@
             for member in self.members.values()
         )
 
+    def is_new_process(self, record: NodeRecord) -> bool:
+        """Returns whether a record is of a process that is unknown here."""
+        if record.name == self.own_record.name:
+            return False
+        member = self.members.get(record.name)
+        return member is None or record.incarnation > member.record.incarnation
+
+    def list_active_names(self, now: float) -> list[str]:
+        """Lists the other active nodes that are considered alive."""
+        return [record.name for record in self.list_alive(now) if record.active]
+
     def handle_message(
         self,
         host: str,
--- /dev/null
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -0,0 +1,482 @@
+"""Quarantine of requests under which backend servers crash.
+
+A request whose server crashed is a suspect: it runs on one server at a time
+until a server answers it, which clears it. After MIN_CRASHES crashes it is
+stopped. Once the stop ends, the first active node by rendezvous hashing tries
+it alone; another crash stops it for longer. Nodes tell each other about
+crashes, stops and clearances, so that a repeat is recognized at any of them.
+
+Servers that crash at the same moment may have any cause in common, and a
+request to all shards is on many of them. They count as one crash, unless the
+request ran alone. A crash is identified by its server's incarnation, so one
+that several nodes see counts once, and it still counts after the server has
+returned or its address belongs to another one. A lost connection alone is no
+crash: the server may have dropped it. Only a server that refuses a new
+connection has crashed.
+"""
+
+import collections
+import collections.abc
+import hashlib
+from typing import NamedTuple
+
+MIN_CRASHES = 3
+MAX_HEDGED_CRASHES = 1  # a request with more is not hedged
+KEPT_CRASHES = 4  # per request; enough to tell repeats of an older report
+SAME_MOMENT_S = 1.0  # a server takes longer to return and crash again
+FIRST_STOP_S = 30.0
+STOP_FACTOR = 4  # each stop is longer than the previous one by this
+MAX_STOP_S = 600.0
+TRIAL_STAGGER_S = 2.0  # between nodes; a crash is known everywhere in less
+MEMORY_S = 600.0  # how long a suspect is remembered without news
+CLEARANCE_S = 30.0  # how long a clearance is kept for late reports
+RUMOR_S = 5.0  # how long news are repeated to random nodes
+AGE_ERROR_S = 0.25  # ages grow by the delay of each datagram
+MAX_SUSPECTS = 512
+MAX_NOTICES = 6  # per datagram, at most 1.1 KB
+
+
+class Crash(NamedTuple):
+    """The crash of one incarnation of a server.
+
+    Attributes:
+        server_id: Id of the server.
+        born_ms: Incarnation of the server.
+        at: Monotonic seconds.
+        alone: Whether the request ran nowhere else and was sent to this server
+            when it was already a suspect.
+    """
+
+    server_id: str
+    born_ms: int
+    at: float
+    alone: bool
+
+
+class Notice(NamedTuple):
+    """What a node tells others about one request.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        crashes: Of each crash the server id, the incarnation, the age in
+            seconds and whether the request ran alone.
+        stops: How often the request was stopped.
+        stopped_s: Remaining seconds of the current stop, or 0.
+        cleared_s: Age of the last answer in seconds, or -1.
+    """
+
+    fingerprint: str
+    crashes: tuple[tuple[str, int, float, bool], ...]
+    stops: int
+    stopped_s: float
+    cleared_s: float
+
+
+class Decision(NamedTuple):
+    """A change of what this node believes about a request, for the log."""
+
+    what: str
+    fingerprint: str
+    server: str
+    crashes: int
+    stopped_s: float
+
+
+class Suspect:
+    """A request under which a server was lost.
+
+    Attributes:
+        crashes: Its crashes since it was last cleared, oldest first.
+        unconfirmed: Incarnations of servers whose connections were lost and
+            that have not been checked yet; whether the run was alone.
+        stops: How often it was stopped.
+        stopped_until: End of the last stop.
+        cleared_at: When a server last answered it.
+        changed_at: When this node last learned something about it.
+        known_to_peers: Whether other nodes were told, or told this one.
+    """
+
+    __slots__ = (
+        'changed_at',
+        'cleared_at',
+        'crashes',
+        'known_to_peers',
+        'stopped_until',
+        'stops',
+        'unconfirmed',
+    )
+
+    def __init__(self, now: float):
+        self.crashes: list[Crash] = []
+        self.unconfirmed: dict[tuple[str, int], bool] = {}
+        self.stops = 0
+        self.stopped_until = float('-inf')
+        self.cleared_at = float('-inf')
+        self.changed_at = now
+        self.known_to_peers = False
+
+    def is_suspected(self) -> bool:
+        """Returns whether it must run alone."""
+        return bool(self.crashes or self.unconfirmed)
+
+    def may_be_stopped_soon(self) -> bool:
+        """Returns whether the checks in progress may stop it."""
+        count = len(self.crashes) + len(self.unconfirmed)
+        return bool(self.unconfirmed) and count >= MIN_CRASHES
+
+
+class Quarantine:
+    """Suspects of this node, and the news for other nodes."""
+
+    def __init__(self):
+        self._suspects: dict[str, Suspect] = {}
+        self._checks: dict[tuple[str, int], set[str]] = {}
+        self._news: dict[str, None] = {}
+        self._decisions: collections.deque[Decision] = collections.deque(
+            maxlen=MAX_SUSPECTS
+        )
+        self._own_name = ''
+        self._active_nodes: tuple[str, ...] = ()
+        self._next_repeated = 0
+
+    def set_nodes(
+        self, own_name: str, active_nodes: collections.abc.Iterable[str]
+    ) -> None:
+        """Sets the nodes among which a stopped request is tried again."""
+        self._own_name = own_name
+        self._active_nodes = tuple(active_nodes)
+
+    def is_suspected(self, fingerprint: str) -> bool:
+        """Returns whether a request must run alone."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and suspect.is_suspected()
+
+    def may_be_stopped_soon(self, fingerprint: str) -> bool:
+        """Returns whether the checks in progress may stop a request."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and suspect.may_be_stopped_soon()
+
+    def may_hedge(self, fingerprint: str) -> bool:
+        """Returns whether a slow run may be joined by a second one."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect is None or (
+            not suspect.stops and len(suspect.crashes) <= MAX_HEDGED_CRASHES
+        )
+
+    def find_stop_end(self, fingerprint: str, now: float) -> float | None:
+        """Returns when this node may try a stopped request, or None."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.stops:
+            return None
+        ends_at = suspect.stopped_until
+        if now >= ends_at:
+            ends_at += TRIAL_STAGGER_S * self._find_rank(fingerprint)
+        return ends_at if now < ends_at else None
+
+    def record_loss(
+        self,
+        fingerprint: str,
+        server_id: str,
+        born_ms: int,
+        alone: bool,
+        now: float,
+    ) -> bool:
+        """Records a connection lost while its server ran a request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            server_id: Id of the server.
+            born_ms: Incarnation of the server.
+            alone: Whether the run began while the request was a suspect.
+            now: Monotonic seconds.
+
+        Returns:
+            Whether the server must be checked; False while it is checked.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            suspect = self._add(fingerprint, now)
+        server = (server_id, born_ms)
+        suspect.unconfirmed[server] = alone
+        is_checked = server in self._checks
+        self._checks.setdefault(server, set()).add(fingerprint)
+        return not is_checked
+
+    def record_check(
+        self, server_id: str, born_ms: int, crashed: bool, now: float
+    ) -> list[str]:
+        """Records whether a server crashed.
+
+        Returns:
+            The requests that ran on it.
+        """
+        server = (server_id, born_ms)
+        fingerprints = sorted(self._checks.pop(server, ()))
+        for fingerprint in fingerprints:
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None or server not in suspect.unconfirmed:
+                continue
+            alone = suspect.unconfirmed.pop(server)
+            if crashed:
+                crash = Crash(server_id, born_ms, now, alone)
+                if self._add_crash(suspect, crash):
+                    self._decide('crash', fingerprint, now)
+                    self._stop_if_guilty(fingerprint, suspect, crash, now)
+                    self._tell(fingerprint, suspect, now)
+            elif not suspect.crashes and not suspect.known_to_peers:
+                self._forget_unless_unconfirmed(fingerprint)
+        return fingerprints
+
+    def record_answer(self, fingerprint: str, now: float) -> bool:
+        """Clears a request that a server has answered.
+
+        Returns:
+            Whether it was a suspect.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not (suspect.is_suspected() or suspect.stops):
+            return False
+        if suspect.crashes:
+            self._decide('cleared', fingerprint, now)
+        self._clear(suspect, now)
+        suspect.unconfirmed.clear()
+        if suspect.known_to_peers:
+            self._tell(fingerprint, suspect, now)
+        else:
+            del self._suspects[fingerprint]
+            self._news.pop(fingerprint, None)
+        return True
+
+    def apply_notices(
+        self, notices: collections.abc.Iterable[Notice], now: float
+    ) -> list[str]:
+        """Applies what another node tells.
+
+        Returns:
+            The requests about which this node learned something.
+        """
+        changed = []
+        for notice in notices:
+            if self._apply_notice(notice, now):
+                changed.append(notice.fingerprint)
+        return changed
+
+    def take_news(self, now: float) -> tuple[list[Notice], bool]:
+        """Returns news that other nodes have not been told by this one.
+
+        Returns:
+            At most MAX_NOTICES notices; the others follow at the next call.
+            Whether they concern a stop, which all nodes must learn at once.
+        """
+        notices = []
+        urgent = False
+        for fingerprint in tuple(self._news)[:MAX_NOTICES]:
+            del self._news[fingerprint]
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None:
+                continue
+            suspect.known_to_peers = True
+            urgent = urgent or suspect.stops > 0
+            notices.append(_build_notice(fingerprint, suspect, now))
+        return notices, urgent
+
+    def list_rumors(self, now: float) -> list[Notice]:
+        """Lists what this node learned lately, to repeat to random nodes."""
+        recent = [
+            fingerprint
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.known_to_peers and now - suspect.changed_at <= RUMOR_S
+        ]
+        return self._build_notices(recent[-MAX_NOTICES:], now)
+
+    def list_stopped(self, now: float) -> list[Notice]:
+        """Lists some stopped requests, others at the next call."""
+        stopped = [
+            fingerprint
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.stops
+        ]
+        if not stopped:
+            return []
+        start = self._next_repeated % len(stopped)
+        self._next_repeated = start + MAX_NOTICES
+        return self._build_notices(
+            [*stopped[start:], *stopped[:start]][:MAX_NOTICES], now
+        )
+
+    def take_decisions(self) -> list[Decision]:
+        """Returns the decisions since the last call."""
+        decisions = list(self._decisions)
+        self._decisions.clear()
+        return decisions
+
+    def expire(self, now: float) -> None:
+        """Forgets suspects without news, and old clearances."""
+        for fingerprint, suspect in tuple(self._suspects.items()):
+            kept_s = MEMORY_S if suspect.is_suspected() else CLEARANCE_S
+            since = max(suspect.changed_at, suspect.stopped_until)
+            if now - since > kept_s:
+                self._forget_unless_unconfirmed(fingerprint)
+
+    def count(self, now: float) -> tuple[int, int]:
+        """Returns the number of suspects and of those that are stopped."""
+        suspects = self._suspects.values()
+        return (
+            sum(suspect.is_suspected() for suspect in suspects),
+            sum(now < suspect.stopped_until for suspect in suspects),
+        )
+
+    def _add(self, fingerprint: str, now: float) -> Suspect:
+        if len(self._suspects) >= MAX_SUSPECTS:
+            self._evict()
+        suspect = self._suspects[fingerprint] = Suspect(now)
+        return suspect
+
+    def _evict(self) -> None:
+        """Forgets the oldest suspect, one that is not stopped if possible."""
+        oldest = next(
+            (
+                fingerprint
+                for fingerprint, suspect in self._suspects.items()
+                if not suspect.stops
+            ),
+            next(iter(self._suspects)),
+        )
+        del self._suspects[oldest]
+        self._news.pop(oldest, None)
+
+    def _forget_unless_unconfirmed(self, fingerprint: str) -> None:
+        if not self._suspects[fingerprint].unconfirmed:
+            del self._suspects[fingerprint]
+            self._news.pop(fingerprint, None)
+
+    def _add_crash(self, suspect: Suspect, crash: Crash) -> bool:
+        """Adds a crash; returns False if it is known or outdated."""
+        if crash.at <= suspect.cleared_at:
+            return False
+        for known in suspect.crashes:
+            same_moment = abs(known.at - crash.at) < SAME_MOMENT_S
+            same_server = known[:2] == crash[:2]
+            if same_moment and (same_server or not crash.alone):
+                return False
+        crashes = sorted([*suspect.crashes, crash], key=lambda c: c.at)
+        suspect.crashes = crashes[-KEPT_CRASHES:]
+        return crash in suspect.crashes
+
+    def _stop_if_guilty(
+        self, fingerprint: str, suspect: Suspect, crash: Crash, now: float
+    ) -> None:
+        if len(suspect.crashes) < MIN_CRASHES:
+            return
+        if crash.at < suspect.stopped_until:
+            return
+        stop_s = min(FIRST_STOP_S * STOP_FACTOR**suspect.stops, MAX_STOP_S)
+        suspect.stops += 1
+        suspect.stopped_until = now + stop_s
+        self._decide('stopped', fingerprint, now)
+
+    def _clear(self, suspect: Suspect, cleared_at: float) -> None:
+        """Drops what happened before an answer."""
+        suspect.cleared_at = max(suspect.cleared_at, cleared_at)
+        suspect.crashes = [
+            crash for crash in suspect.crashes if crash.at > suspect.cleared_at
+        ]
+        if not suspect.crashes:
+            suspect.stops = 0
+            suspect.stopped_until = float('-inf')
+
+    def _tell(self, fingerprint: str, suspect: Suspect, now: float) -> None:
+        """Marks a suspect as changed and moves it to the end."""
+        suspect.changed_at = now
+        self._suspects.pop(fingerprint, None)
+        self._suspects[fingerprint] = suspect
+        self._news[fingerprint] = None
+
+    def _apply_notice(self, notice: Notice, now: float) -> bool:
+        suspect = self._suspects.get(notice.fingerprint)
+        if suspect is None:
+            if not notice.crashes:
+                return False
+            suspect = self._add(notice.fingerprint, now)
+        before = (
+            list(suspect.crashes),
+            suspect.stops,
+            suspect.cleared_at,
+        )
+        if notice.cleared_s >= 0:
+            cleared_at = now - notice.cleared_s
+            if cleared_at > suspect.cleared_at + AGE_ERROR_S:
+                self._clear(suspect, cleared_at)
+        crashes = [
+            Crash(server_id, born_ms, now - age_s, alone)
+            for server_id, born_ms, age_s, alone in notice.crashes
+            if now - age_s > suspect.cleared_at
+        ]
+        for crash in crashes:
+            self._add_crash(suspect, crash)
+        if crashes:
+            if notice.stops > suspect.stops:
+                suspect.stops = notice.stops
+                suspect.stopped_until = now + notice.stopped_s
+                self._decide('told_stopped', notice.fingerprint, now)
+            for crash in crashes:
+                self._stop_if_guilty(notice.fingerprint, suspect, crash, now)
+        suspect.known_to_peers = True
+        after = (
+            suspect.crashes,
+            suspect.stops,
+            suspect.cleared_at,
+        )
+        if before == after:
+            return False
+        suspect.changed_at = now
+        return True
+
+    def _build_notices(
+        self, fingerprints: collections.abc.Iterable[str], now: float
+    ) -> list[Notice]:
+        return [
+            _build_notice(fingerprint, self._suspects[fingerprint], now)
+            for fingerprint in fingerprints
+        ]
+
+    def _decide(self, what: str, fingerprint: str, now: float) -> None:
+        suspect = self._suspects[fingerprint]
+        self._decisions.append(
+            Decision(
+                what,
+                fingerprint,
+                suspect.crashes[-1].server_id if suspect.crashes else '',
+                len(suspect.crashes),
+                round(max(0.0, suspect.stopped_until - now), 1),
+            )
+        )
+
+    def _find_rank(self, fingerprint: str) -> int:
+        """Returns how many active nodes try a request before this one."""
+        own_hash = _hash_node(self._own_name, fingerprint)
+        return sum(
+            _hash_node(name, fingerprint) < own_hash
+            for name in self._active_nodes
+        )
+
+
+def _build_notice(fingerprint: str, suspect: Suspect, now: float) -> Notice:
+    cleared_s = -1.0
+    if suspect.cleared_at > float('-inf'):
+        cleared_s = round(now - suspect.cleared_at, 3)
+    return Notice(
+        fingerprint,
+        tuple(
+            crash._replace(at=round(now - crash.at, 3))
+            for crash in suspect.crashes
+        ),
+        suspect.stops,
+        round(max(0.0, suspect.stopped_until - now), 3),
+        cleared_s,
+    )
+
+
+def _hash_node(name: str, fingerprint: str) -> bytes:
+    key = f'{name} {fingerprint}'.encode()
+    return hashlib.blake2b(key, digest_size=8).digest()
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -27,6 +27,7 @@
 JITTER = 0.1  # so that nodes with equal observations choose differently
 OVERDUE_COST = 20.0
 EJECTION_COST = 50.0
+SUSPECT_COST = 20.0  # of a request that may crash the server
 
 
 class ServerEntry(NamedTuple):
@@ -66,6 +67,7 @@
         overdue: Number of these that are overdue.
         slowness: Latency relative to the typical latency, at `sampled_at`.
         slow_reply_at: When the last reply was received, if it was slow.
+        suspects: Number of attempts in flight that may crash it.
         failed_share: Share of its recent requests that failed, were lost or
             were refused.
     """
@@ -82,6 +84,7 @@
         'sampled_at',
         'slow_reply_at',
         'slowness',
+        'suspects',
     )
 
     def __init__(self, entry: ServerEntry, now: float):
@@ -89,6 +92,7 @@
         self.accepts_connections = False
         self.in_flight = 0
         self.overdue = 0
+        self.suspects = 0
         self.slowness = COLD_SLOWNESS if entry.cold_s > 0 else 1.0
         self.sampled_at = now
         self.slow_reply_at = -1e9
@@ -231,6 +235,7 @@
     max_in_flight: int,
     now: float,
     rng: random.Random,
+    suspected: bool = False,
 ) -> Server | None:
     """Chooses the server that is expected to reply first.
 
@@ -241,6 +246,8 @@
         max_in_flight: Connections that this node may hold to each server.
         now: Monotonic seconds.
         rng: The node's seeded generator.
+        suspected: Whether the request may crash the server. It then goes where
+            no other request runs, if possible.
 
     Returns:
         The server, or None when every server was tried or has reached the
@@ -262,6 +269,8 @@
             cost += OVERDUE_COST
         if server.ejected_until > now:
             cost += EJECTION_COST
+        if server.suspects or (suspected and server.in_flight):
+            cost += SUSPECT_COST
         if best is None or cost < best_cost:
             best, best_cost = server, cost
     return best
--- a/packages/node/balsamshore_node/forwarding/gossip.py
+++ b/packages/node/balsamshore_node/forwarding/gossip.py
@@ -16,11 +16,15 @@
 
 from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import fleet
+from balsamshore_core.forwarding import quarantine
 from balsamshore_node.forwarding import sockets
 
 MAX_ITEMS_BYTES = 8_192  # larger changes are fetched over a stream
 MAX_RESPONSE_BYTES = 8_388_608  # eight documents of the store's maximum size
 FORMAT_VERSION = 2  # incremented when the layout of the payload changes
+# With notices at the end. Releases without quarantine drop such a datagram, so
+# it carries nothing else that they need.
+NOTICES_FORMAT_VERSION = 3
 REVISION = struct.Struct('>Q')  # request for the changes after this revision
 LENGTH = struct.Struct('>I')  # precedes the payload of a response
 FETCH_TIMEOUT_S = 1.5
@@ -42,12 +46,14 @@
         requested_keys: Keys of records that the sender requests.
         relay: Whether the sender's record is to be relayed, and changes missing
             here are to be fetched without delay.
+        notices: Requests under which servers crashed.
     """
 
     __slots__ = (
         'heartbeats',
         'is_snapshot',
         'items',
+        'notices',
         'records',
         'relay',
         'requested_keys',
@@ -67,7 +73,9 @@
         heartbeats: tuple[fleet.Heartbeat, ...] = (),
         requested_keys: tuple[int, ...] = (),
         relay: bool = False,
+        notices: collections.abc.Sequence[quarantine.Notice] = (),
     ):
+        self.notices = notices
         self.records = records
         self.items = items
         self.is_snapshot = is_snapshot
@@ -81,24 +89,20 @@
 
 def encode_payload(payload: Payload) -> bytes:
     """Encodes a payload in MessagePack."""
-    return msgpack.packb(
-        (
-            FORMAT_VERSION,
-            payload.records,
-            payload.items,
-            payload.is_snapshot,
-            payload.since,
-            payload.revision,
-            payload.slowness_reports,
-            [
-                number
-                for heartbeat in payload.heartbeats
-                for number in heartbeat
-            ],
-            payload.requested_keys,
-            payload.relay,
-        )
+    fields = (
+        payload.records,
+        payload.items,
+        payload.is_snapshot,
+        payload.since,
+        payload.revision,
+        payload.slowness_reports,
+        [number for heartbeat in payload.heartbeats for number in heartbeat],
+        payload.requested_keys,
+        payload.relay,
     )
+    if payload.notices:
+        return msgpack.packb((NOTICES_FORMAT_VERSION, *fields, payload.notices))
+    return msgpack.packb((FORMAT_VERSION, *fields))
 
 
 def decode_payload(data: bytes) -> Payload:
@@ -119,11 +123,14 @@
             heartbeats,
             requested_keys,
             relay,
+            *rest,
         ) = msgpack.unpackb(data)
-        if version != FORMAT_VERSION:
+        if version not in (FORMAT_VERSION, NOTICES_FORMAT_VERSION):
             raise ValueError(
-                f'format version {version!r}, expected {FORMAT_VERSION}'
+                f'format version {version!r}, expected {FORMAT_VERSION} or '
+                f'{NOTICES_FORMAT_VERSION}'
             )
+        notices = rest[0] if version == NOTICES_FORMAT_VERSION else ()
         return Payload(
             tuple(fleet.NodeRecord(*record) for record in records),
             [catalog.Item(*item) for item in items],
@@ -134,11 +141,36 @@
             tuple(map(fleet.Heartbeat, heartbeats[::2], heartbeats[1::2])),
             tuple(requested_keys),
             relay,
+            [_read_notice(*notice) for notice in notices],
         )
-    except (TypeError, ValueError, msgpack.UnpackException) as error:
+    except (
+        IndexError,
+        TypeError,
+        ValueError,
+        msgpack.UnpackException,
+    ) as error:
         raise ValueError(f'invalid gossip payload: {error}') from error
 
 
+def _read_notice(
+    fingerprint: str,
+    crashes: collections.abc.Iterable[tuple[str, int, float, bool]],
+    stops: int,
+    stopped_s: float,
+    cleared_s: float,
+) -> quarantine.Notice:
+    return quarantine.Notice(
+        str(fingerprint),
+        tuple(
+            (str(server_id), int(born_ms), float(age_s), bool(alone))
+            for server_id, born_ms, age_s, alone in crashes
+        ),
+        int(stops),
+        float(stopped_s),
+        float(cleared_s),
+    )
+
+
 class Gossip(asyncio.DatagramProtocol):
     """The node's datagram socket and stream listener for peers.
 
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -22,6 +22,8 @@
 from balsamshore_core.forwarding import follower as followers
 from balsamshore_core.forwarding import placement
 from balsamshore_core.forwarding import routes
+from balsamshore_core.forwarding import rumors
+from balsamshore_core.forwarding import servers
 from balsamshore_node.forwarding import callers
 from balsamshore_node.forwarding import dialects
 from balsamshore_node.forwarding import errors
@@ -40,6 +42,7 @@
 TICKS_PER_SLOWNESS_REPORT = 2  # sent to active nodes every 0.2 s, if any
 TICKS_PER_USAGE_SAMPLE = 10
 TICKS_PER_RELOAD = 20  # settings may change without a signal
+NEWS_DELAY_S = 0.005  # servers often crash together
 FETCH_DELAY_S = 0.12  # a datagram with the missing changes may still arrive
 REMOTE_FETCH_DELAY_S = 0.6  # a node in this domain may soon have the changes
 MAX_ACCEPT_DELAY_S = 0.3  # callers wait this long for the first configuration
@@ -50,6 +53,12 @@
 # Added to a watch's wait for a slow reply; normal replies take 4 ms.
 WATCH_TIMEOUT_MARGIN_S = 0.8
 READ_ALL_TIMEOUT_S = 2.0  # time to read a few pages
+QUARANTINE_DECISIONS = {
+    'crash': 'a backend server crashed under a request',
+    'stopped': 'a request is not sent on: it crashes backend servers',
+    'told_stopped': 'another node stopped a request',
+    'cleared': 'a backend server answered a suspected request',
+}
 
 
 class PendingRequest(NamedTuple):
@@ -142,6 +151,7 @@
         self._pending: dict[int, PendingRequest] = {}
         self._next_exchange_id = 1
         self._answer_count = 0
+        self._rumors = rumors.Rumors(self.board.quarantine, self.fleet)
         self._usage = usage.Usage(now)
         self._fetch_peer: str | None = None
         self._reads_store = False
@@ -162,7 +172,12 @@
             1, self.settings.log_level, self.settings.name
         )
         self._pool = upstream.Pool(
-            loop, self._dialect, self.now, self._handle_reply, self._handle_loss
+            loop,
+            self._dialect,
+            self.now,
+            self._handle_reply,
+            self._handle_loss,
+            self._handle_check,
         )
         self._gossip = gossip.Gossip(
             self._handle_payload,
@@ -229,7 +244,11 @@
         )
         self._perform(
             self.exchanges.start(
-                exchange_id, route, request.deadline_s or route.timeout_s, now
+                exchange_id,
+                route,
+                request.deadline_s or route.timeout_s,
+                now,
+                fingerprint,
             )
         )
 
@@ -280,6 +299,8 @@
                 self._pool.send(action, pending.request)
             elif type(action) is actions.Close:
                 self._pool.close(action.attempt_id)
+            elif type(action) is actions.Check:
+                self._pool.check(action.entry)
             else:
                 self._send_answer(action)
         self._schedule_timer()
@@ -349,8 +370,18 @@
             self.exchanges.handle_loss(attempt_id, written, cause, self.now())
         )
 
+    def _handle_check(self, entry: servers.ServerEntry, crashed: bool) -> None:
+        self._perform(
+            self.exchanges.handle_check(
+                entry.server_id, entry.born_ms, crashed, self.now()
+            )
+        )
+        if crashed:
+            self._loop.call_later(NEWS_DELAY_S, self._spread_quarantine)
+
     def _handle_payload(self, peer_host: str, payload: gossip.Payload) -> None:
         now = self.now()
+        self._send_notices(self._rumors.greet(peer_host, payload.records, now))
         responses = self.fleet.handle_message(
             peer_host,
             payload.records,
@@ -362,6 +393,8 @@
         for message in responses:
             self._send_message(message)
         self.exchanges.apply_slowness_reports(payload.slowness_reports, now)
+        if payload.notices:
+            self._perform(self.exchanges.apply_notices(payload.notices, now))
         old_revision = self.catalog.revision
         is_local = self.fleet.is_in_local_domain(peer_host)
         if payload.items:
@@ -473,6 +506,27 @@
             if record.active:
                 self._gossip.send(record.host, datagram)
 
+    def _send_notices(
+        self, messages: collections.abc.Iterable[rumors.NoticeMessage]
+    ) -> None:
+        for message in messages:
+            datagram = gossip.encode_payload(
+                gossip.Payload(
+                    (self.fleet.own_record,),
+                    revision=self.catalog.revision,
+                    notices=message.notices,
+                )
+            )
+            for peer_host in message.recipients:
+                self._gossip.send(peer_host, datagram)
+
+    def _spread_quarantine(self) -> None:
+        self._send_notices(self._rumors.spread(self.now()))
+        for decision in self.board.quarantine.take_decisions():
+            loguru.logger.bind(
+                event='quarantine', **decision._asdict()
+            ).warning(QUARANTINE_DECISIONS[decision.what])
+
     def _find_checked_age(self) -> float:
         """Returns seconds since this or another node last checked the store."""
         now = self.now()
@@ -515,9 +569,15 @@
         if now >= self._accept_deadline:
             self._start_accepting()
         if ticks % TICKS_PER_HEARTBEAT == 0:
-            for message in self.fleet.tick(now):
+            messages = self.fleet.tick(now)
+            for message in messages:
                 self._send_message(message)
+            self._send_notices(self._rumors.repeat(messages, now))
             self.board.senders = self.fleet.count_senders(now)
+            self.board.quarantine.set_nodes(
+                self.settings.name, self.fleet.list_active_names(now)
+            )
+            self.board.quarantine.expire(now)
             self._pool.close_expired()
         if (
             ticks % TICKS_PER_SLOWNESS_REPORT == 0
@@ -530,6 +590,7 @@
             )
         if ticks % TICKS_PER_RELOAD == 0:
             self._reload_settings()
+        self._spread_quarantine()
         self._handle_changes(self.catalog.expire(now), 'grace')
         rank = self.fleet.find_reader_rank(now)
         peer_checked_age_s = self.fleet.find_checked_age(now)
@@ -660,6 +721,7 @@
         now = self.now()
         busy, idle = self._pool.count_connections()
         table = self.board.table
+        suspected, stopped = self.board.quarantine.count(now)
         return {
             'configuration_version': table.version if table else 0,
             'catalog_revision': self.catalog.revision,
@@ -669,6 +731,8 @@
             'connections_idle': idle,
             'members_alive': len(self.fleet.list_alive(now)) + 1,
             'senders': self.board.senders,
+            'requests_suspected': suspected,
+            'requests_stopped': stopped,
             'log_lines_dropped': self._log.dropped,
         }
 
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -8,6 +8,8 @@
 import collections.abc
 import typing
 
+import loguru
+
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import servers
 from balsamshore_node.forwarding import dialects
@@ -20,11 +22,13 @@
 DEFAULT_KEEP_ALIVE_S = 4.0  # for servers that send no idle timeout
 RESET_ROUND_TRIPS = 1.2  # from connecting until a full server's reset arrives
 RESET_DELAY_S = 0.0005  # the server's time to accept and reset a connection
+CHECK_TIMEOUT_S = 0.1  # without an answer, nothing shows that a server crashed
 MAX_RESET_WAIT_S = 0.01  # longer would make an urgent request miss its target
 SWEEP_INTERVAL_S = 1.0  # between checks for connections idle too long
 
 OnReply = collections.abc.Callable[[int, actions.Reply], None]
 OnLoss = collections.abc.Callable[[int, bool, str], None]
+OnCheck = collections.abc.Callable[[servers.ServerEntry, bool], None]
 
 
 class Connection(asyncio.Protocol):
@@ -108,7 +112,10 @@
         """Reports the attempt in progress as lost; see `asyncio`."""
         if self.closed:
             return
-        self._pool.drop(self, 'reset' if exc is not None else 'closed')
+        cause = 'reset' if exc is not None else 'closed'
+        if self._reader is not None and self._reader.started:
+            cause = 'truncated'
+        self._pool.drop(self, cause)
 
     def _complete(self, reader: messages.ReplyReader) -> None:
         self._reader = None
@@ -143,6 +150,7 @@
         read_clock: collections.abc.Callable[[], float],
         on_reply: OnReply,
         on_loss: OnLoss,
+        on_check: OnCheck,
     ):
         self.dialect = dialect
         self.opened = 0
@@ -150,6 +158,7 @@
         self._read_clock = read_clock
         self._on_reply = on_reply
         self._on_loss = on_loss
+        self._on_check = on_check
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._busy: dict[int, Connection] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -170,9 +179,16 @@
         connection = Connection(self, entry)
         connection.attempt_id = action.attempt_id
         self._busy[action.attempt_id] = connection
-        task = self._loop.create_task(
-            self._connect(connection, action, request)
-        )
+        self._start(self._connect(connection, action, request))
+
+    def check(self, entry: servers.ServerEntry) -> None:
+        """Reports whether a server refuses a new connection."""
+        self._start(self._check(entry))
+
+    def _start(
+        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -286,3 +302,21 @@
                 request, action.entry, remaining_s
             )
             connection.send_request(action.attempt_id, request, payload)
+
+    async def _check(self, entry: servers.ServerEntry) -> None:
+        host, port = sockets.split_address(entry.address)
+        self.opened += 1
+        crashed = False
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                transport, _ = await self._loop.create_connection(
+                    asyncio.Protocol, host, port
+                )
+            transport.abort()
+        except ConnectionRefusedError:
+            crashed = True
+        except (OSError, TimeoutError) as error:
+            loguru.logger.bind(event='check', server=entry.server_id).info(
+                f'cannot tell whether it crashed: {error!r}'
+            )
+        self._on_check(entry, crashed)
--- a/tests/adapter/test_quarantine.py
+++ b/tests/adapter/test_quarantine.py
@@ -1,6 +1,7 @@
 """Requests that crash the servers that run them, with the real program."""
 
 import asyncio
+import signal
 
 import pytest
 from adapter import test_program
@@ -48,3 +49,56 @@
         await repeat(platform, target, 10.0)
         assert len(platform.crashes) >= 3
         assert len(list_late_retries(platform)) <= MAX_LATE_RETRIES
+
+
+async def test_innocent_requests_are_served_beside_a_crashing_one(tmp_path):
+    async with test_program.start_platform(tmp_path, NODES) as platform:
+        platform.crashing_targets.add('/p/crash')
+        await repeat(platform, '/p/crash', 2.0)
+        responses = await repeat(platform, '/p/often', 3.0)
+        responses += await repeat(platform, '/q/often', 2.0)
+        assert {response.status for response in responses} == {200}
+
+
+async def test_a_stopped_request_is_refused_with_the_time_of_its_next_trial(
+    tmp_path,
+):
+    async with test_program.start_platform(tmp_path, NODES) as platform:
+        platform.crashing_targets.add('/p/crash')
+        await repeat(platform, '/p/crash', 4.0)
+        runs = len(platform.executed)
+        for index in range(1, NODES + 1):
+            response = await platform.send_request(index, '/p/crash')
+            assert response.status == 503
+            assert float(response.headers['retry-after']) > 10.0
+        assert len(platform.executed) == runs
+        lines = [line for n in (1, 2, 3) for line in platform.read_log(f'n{n}')]
+        whats = {
+            line['what'] for line in lines if line.get('event') == 'quarantine'
+        }
+        assert {'crash', 'stopped'} <= whats
+
+
+async def test_a_restarted_node_does_not_send_a_stopped_request(tmp_path):
+    async with test_program.start_platform(tmp_path, NODES) as platform:
+        platform.crashing_targets.add('/p/crash')
+        await repeat(platform, '/p/crash', 4.0)
+        platform.send_signal('n2', signal.SIGKILL)
+        platform.start_node('n2', 2)
+        await platform.wait_ready(2)
+        await asyncio.sleep(1.0)
+        runs = len(platform.executed)
+        response = await platform.send_request(2, '/p/crash')
+        assert response.status == 503
+        assert len(platform.executed) == runs
+
+
+async def test_connections_reset_by_live_servers_stop_no_request(tmp_path):
+    async with test_program.start_platform(tmp_path, NODES) as platform:
+        for name in ('a0', 'a1'):
+            platform.server_modes[name] = 'reset'
+        await repeat(platform, '/p/often', 3.0)
+        for name in ('a0', 'a1'):
+            platform.server_modes[name] = 'ok'
+        responses = await repeat(platform, '/p/often', 1.0)
+        assert {response.status for response in responses} == {200}
--- /dev/null
+++ b/tests/forwarding/test_quarantine.py
@@ -0,0 +1,354 @@
+"""Requests under which servers crash, and innocent ones beside them."""
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+from forwarding import clusters
+from forwarding import worlds
+
+from balsamshore_core.forwarding import quarantine as quarantines
+
+POISON = 'poison'
+
+
+def make_cluster(**fields):
+    cluster = clusters.Cluster(**fields)
+    cluster.crashing.add(POISON)
+    return cluster
+
+
+def repeat(cluster, seconds, gap_s=0.25, route='plain', fingerprint=POISON):
+    """Repeats one request, at another node each time."""
+    asked = []
+    for _ in range(round(seconds / gap_s)):
+        asked.append(cluster.ask(len(asked), fingerprint, route))
+        cluster.run(gap_s)
+    return asked
+
+
+@pytest.mark.parametrize('gap_s', [0.05, 0.3, 1.7])
+def test_a_plain_request_crashes_no_more_than_three_servers(gap_s):
+    cluster = make_cluster()
+    asked = repeat(cluster, 20.0, gap_s)
+    cluster.run(1.0)
+    assert len(cluster.crashes) == quarantines.MIN_CRASHES
+    answer = cluster.answer(asked[-1])
+    assert (answer.outcome, answer.reason) == ('not run', 'quarantined')
+    assert answer.retry_after_s > 1.0
+
+
+@pytest.mark.parametrize('gap_s', [0.05, 0.3, 1.7])
+def test_a_scattered_request_crashes_one_server_a_shard_and_two(gap_s):
+    cluster = make_cluster(shards=10)
+    repeat(cluster, 20.0, gap_s, 'scattered')
+    cluster.run(1.0)
+    assert len(cluster.crashes) <= 10 + 2
+
+
+def test_repeats_that_arrive_at_once_are_stopped_after_the_first_loss():
+    cluster = make_cluster(nodes=3, replicas=12)
+    for _ in range(5):
+        for number in range(3):
+            cluster.ask(number, POISON)
+        cluster.run(0.002)
+    cluster.run(5.0)
+    for _ in range(10):
+        for number in range(3):
+            cluster.ask(number, POISON)
+        cluster.run(0.3)
+    assert len(cluster.crashes) <= 12
+    late = [at for at, _ in cluster.crashes if at > cluster.crashes[2][0] + 1]
+    assert not late
+
+
+def test_a_suspect_runs_on_one_server_at_a_time():
+    cluster = make_cluster(nodes=1, shards=6)
+    cluster.ask(0, POISON, 'scattered')
+    cluster.run(0.5)
+    times = [at for at, _ in cluster.crashes]
+    assert len(times) == 6 + 2
+    assert times[5] - times[0] < 0.001
+    assert times[6] - times[5] > 0.001
+    assert times[7] - times[6] > 0.001
+
+
+def test_the_last_repeat_is_answered_at_once_and_truly():
+    cluster = make_cluster()
+    repeat(cluster, 3.0)
+    node, request = cluster.ask(0, POISON)
+    received = node.answers[request]
+    assert received.took_s == 0.0
+    assert received.answer.outcome == 'not run'
+    assert not any(run.exchange_id == request for run in node.runs)
+
+
+def test_a_request_that_ran_is_never_reported_as_not_run():
+    cluster = make_cluster(shards=4)
+    asked = [
+        *repeat(cluster, 2.0, 0.02, 'scattered'),
+        *repeat(cluster, 2.0, 0.02, 'plain', 'other-poison'),
+    ]
+    cluster.run(2.0)
+    for node, request in asked:
+        ran = any(run.exchange_id == request for run in node.runs)
+        refused = node.answers[request].answer.outcome == 'not run'
+        assert not (ran and refused)
+
+
+def test_a_non_idempotent_request_is_stopped_and_runs_at_most_once():
+    cluster = make_cluster()
+    for node in cluster.nodes:
+        node.plain = worlds.make_route('/n/', service='s0', idempotent=False)
+    asked = repeat(cluster, 8.0)
+    cluster.run(1.0)
+    assert len(cluster.crashes) == quarantines.MIN_CRASHES
+    for node, request in asked:
+        runs = [run for run in node.runs if run.exchange_id == request]
+        outcome = node.answers[request].answer.outcome
+        assert len(runs) <= 1
+        assert outcome == ('unknown' if runs else 'not run')
+
+
+def test_innocent_requests_on_the_same_servers_stay_served():
+    cluster = make_cluster(shards=1, slots=6)
+    for server in cluster.servers.values():
+        server.work_s = 0.05
+    innocent = []
+    for step in range(60):
+        if step % 5 == 0:
+            cluster.ask(step, POISON)
+        for number in range(3):
+            innocent.append(cluster.ask(step + number, 'often'))
+            innocent.append(cluster.ask(step + number, f'own-{step}-{number}'))
+        cluster.run(0.1)
+    cluster.run(3.0)
+    reasons = [cluster.answer(asked).reason for asked in innocent]
+    assert 'quarantined' not in reasons
+    assert sum(reason == '' for reason in reasons) > 0.9 * len(reasons)
+    assert len(cluster.crashes) == quarantines.MIN_CRASHES
+
+
+def test_an_innocent_request_at_three_losses_runs_again():
+    cluster = make_cluster(nodes=1, shards=1, replicas=4)
+    node = cluster.nodes[0]
+    for number in range(3):
+        cluster.run(0.5)
+        node.board.quarantine.record_loss('rare', f's0-{number}', 1, False, 0)
+        node.board.quarantine.record_check(f's0-{number}', 1, True, node.now)
+    asked = cluster.ask(0, 'rare')
+    cluster.run(0.5)
+    assert cluster.answer(asked).outcome == 'complete'
+    assert not node.board.quarantine.is_suspected('rare')
+
+
+@pytest.mark.parametrize('which', ['domain', 'shard', 'all'])
+def test_servers_that_die_at_once_stop_no_request(which):
+    cluster = make_cluster(shards=10)
+    for server in cluster.servers.values():
+        server.work_s = 0.02
+    dying = [
+        name
+        for name, server in cluster.servers.items()
+        if which == 'all'
+        or (which == 'domain' and server.entry.failure_domain == 'a')
+        or (which == 'shard' and server.entry.service == 's0')
+    ]
+    asked = []
+    for round_number in range(4):
+        asked += [
+            cluster.ask(number, f'q{number % 5}', 'scattered')
+            for number in range(9)
+        ]
+        cluster.run(0.01)
+        for name in dying:
+            cluster.crash(name)
+        cluster.run(3.0)
+        assert all(request in node.answers for node, request in asked)
+        later = [
+            cluster.ask(number, f'q{number}', 'scattered')
+            for number in range(5)
+        ]
+        cluster.run(0.5)
+        assert {cluster.answer(one).outcome for one in later} == {'complete'}
+        assert round_number < 4
+    if which == 'domain':
+        outcomes = {cluster.answer(one).outcome for one in asked}
+        assert outcomes == {'complete'}
+
+
+@pytest.mark.parametrize('mode', ['reset', 'silent'])
+def test_losses_without_a_crash_suspect_no_request(mode):
+    cluster = make_cluster(nodes=1, shards=1)
+    for server in cluster.servers.values():
+        server.mode = mode
+    for _ in range(10):
+        cluster.ask(0, 'often')
+        cluster.run(0.4)
+    for server in cluster.servers.values():
+        server.mode = 'ok'
+    cluster.run(1.0)
+    asked = cluster.ask(0, 'often')
+    cluster.run(0.3)
+    assert cluster.answer(asked).outcome == 'complete'
+    assert cluster.nodes[0].board.counters['crashes_confirmed'] == 0
+
+
+@pytest.mark.parametrize('keeps_incarnation', [False, True])
+def test_crashes_still_count_after_the_servers_returned(keeps_incarnation):
+    cluster = make_cluster(replicas=1, shards=1)
+    cluster.keeps_incarnation = keeps_incarnation
+    cluster.down_s = 1.2
+    repeat(cluster, 20.0, 0.3)
+    assert len(cluster.crashes) == quarantines.MIN_CRASHES
+
+
+def test_one_crash_that_two_nodes_see_counts_once():
+    cluster = make_cluster(nodes=2, shards=1)
+    first, second = (node.board.quarantine for node in cluster.nodes)
+    for quarantine, now in ((first, 1.0), (second, 1.003)):
+        quarantine.record_loss('f', 's0-0', 7, True, now)
+        quarantine.record_check('s0-0', 7, True, now)
+    news, _ = first.take_news(1.05)
+    second.apply_notices(news, 1.06)
+    notices, _ = second.take_news(1.1)
+    assert len(notices[0].crashes) == 1
+
+
+def test_a_node_that_was_cut_off_stops_a_request_on_its_own():
+    cluster = make_cluster()
+    cluster.cut.add(cluster.nodes[2])
+    repeat(cluster, 12.0, 0.2)
+    assert len(cluster.crashes) <= 2 * quarantines.MIN_CRASHES
+
+
+def test_a_new_process_learns_what_is_stopped():
+    cluster = make_cluster()
+    repeat(cluster, 3.0)
+    node = cluster.replace_node(1)
+    stopped = cluster.nodes[0].board.quarantine.list_stopped(cluster.now)
+    node.perform(node.exchanges.apply_notices(stopped, node.now))
+    crashes = len(cluster.crashes)
+    repeat(cluster, 6.0)
+    assert len(cluster.crashes) == crashes
+
+
+def test_a_stopped_request_is_tried_by_one_node_at_a_time():
+    cluster = make_cluster()
+    repeat(cluster, 3.0)
+    before = len(cluster.crashes)
+    for _ in range(400):
+        for number in range(3):
+            cluster.ask(number, POISON)
+        cluster.run(0.1)
+    assert len(cluster.crashes) == before + 1
+
+
+def test_a_request_that_no_longer_crashes_servers_is_served_again():
+    cluster = make_cluster()
+    repeat(cluster, 3.0)
+    cluster.crashing.clear()
+    asked = repeat(cluster, quarantines.FIRST_STOP_S + 8.0, 0.5)
+    assert cluster.answer(asked[20]).reason == 'quarantined'
+    for number in range(3):
+        assert cluster.answer(asked[-1 - number]).outcome == 'complete'
+        counts = cluster.nodes[number].board.quarantine.count(cluster.now)
+        assert counts == (0, 0)
+
+
+def test_memory_and_datagrams_are_bounded_under_many_crashing_requests():
+    quarantine = quarantines.Quarantine()
+    for number in range(5_000):
+        name = f'f{number}'
+        quarantine.record_loss(name, f's{number}', 1, True, number)
+        quarantine.record_check(f's{number}', 1, True, number)
+        notices, _ = quarantine.take_news(number)
+        assert len(notices) <= quarantines.MAX_NOTICES
+        assert len(quarantine.list_rumors(number)) <= quarantines.MAX_NOTICES
+    assert quarantine.count(5_000)[0] <= quarantines.MAX_SUSPECTS
+
+
+def test_a_flood_of_other_suspects_does_not_release_a_stopped_request():
+    cluster = make_cluster(nodes=1)
+    repeat(cluster, 3.0)
+    quarantine = cluster.nodes[0].board.quarantine
+    for number in range(2 * quarantines.MAX_SUSPECTS):
+        quarantine.record_loss(f'f{number}', 'x', 1, False, cluster.now)
+        quarantine.record_check('x', 1, True, cluster.now)
+    assert quarantine.find_stop_end(POISON, cluster.now) is not None
+
+
+def test_suspects_are_forgotten_in_the_end():
+    cluster = make_cluster(nodes=1)
+    repeat(cluster, 3.0)
+    quarantine = cluster.nodes[0].board.quarantine
+    stop_end = quarantine.find_stop_end(POISON, cluster.now)
+    quarantine.expire(stop_end + quarantines.MEMORY_S - 1.0)
+    assert quarantine.count(cluster.now)[0] == 1
+    quarantine.expire(stop_end + quarantines.MEMORY_S + 1.0)
+    assert quarantine.count(cluster.now)[0] == 0
+
+
+OPERATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ('poison', 'poison-all', 'innocent', 'innocent-all', 'crash',
+             'reset', 'cut', 'heal', 'replace', 'withdraw')
+        ),
+        st.integers(0, 29),
+        st.sampled_from((0.0, 0.01, 0.1, 0.6)),
+    ),
+    min_size=5,
+    max_size=25,
+)  # fmt: skip
+
+
+@hypothesis.settings(deadline=None, derandomize=True, max_examples=60)
+@hypothesis.given(OPERATIONS)
+def test_every_caller_is_answered_truly_whatever_crashes(operations):
+    cluster = make_cluster(shards=3)
+    asked = []
+    for operation, choice, wait_s in operations:
+        perform(cluster, operation, choice, asked)
+        cluster.run(wait_s)
+    cluster.cut.clear()
+    for server in cluster.servers.values():
+        if server.mode == 'reset':
+            server.mode = 'ok'
+    cluster.run(4.0)
+    for node, request in asked:
+        answer = node.answers[request].answer
+        ran = any(run.exchange_id == request for run in node.runs)
+        assert not (ran and answer.outcome == 'not run')
+    for node in cluster.nodes:
+        assert node.exchanges.count_open() == 0
+        assert node.exchanges.count_held() == 0
+    innocent = [cluster.ask(number, f'i{number}') for number in range(3)]
+    cluster.run(1.0)
+    for one in innocent:
+        assert cluster.answer(one).outcome == 'complete'
+
+
+def perform(cluster, operation, choice, asked):
+    """Performs one operation of a schedule."""
+    name, _, suffix = operation.partition('-')
+    route = 'scattered' if suffix else 'plain'
+    servers = sorted(cluster.servers)
+    server = cluster.servers[servers[choice % len(servers)]]
+    if name in ('poison', 'innocent'):
+        fingerprint = POISON if name == 'poison' else f'i{choice % 3}'
+        asked.append(cluster.ask(choice, fingerprint, route))
+    elif name == 'crash':
+        cluster.crash(server.entry.server_id)
+    elif name == 'reset' and server.mode == 'ok':
+        server.mode = 'reset'
+    elif name == 'cut':
+        cluster.cut.add(cluster.nodes[choice % 3])
+    elif name == 'heal':
+        cluster.cut.clear()
+    elif name == 'replace':
+        node = cluster.nodes[choice % 3]
+        asked[:] = [one for one in asked if one[0] is not node]
+        cluster.replace_node(choice % 3)
+    elif name == 'withdraw' and asked:
+        node, request = asked.pop(choice % len(asked))
+        node.perform(node.exchanges.withdraw(request, node.now))
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -38,6 +38,7 @@
         mode: `ok`, `silent`, `unreachable`, `over_limit`, `full` or `reset`.
         status: HTTP status of the replies.
         pauses: Start and length of each pause, in seconds.
+        crashing: Fingerprints of the requests that crash the server.
     """
 
     def __init__(self, entry):
@@ -46,6 +47,7 @@
         self.mode = 'ok'
         self.status = 200
         self.pauses = []
+        self.crashing = set()
 
     def finish_at(self, now):
         """Returns when a request that starts now ends."""
@@ -72,6 +74,8 @@
         self.next_exchange = 1
         self.arrived = {}
         self.attempts = {}
+        self.fingerprints = {}
+        self.crash_server = lambda server_id: None
         names = [f's{number}' for number in range(shards)]
         for name in names:
             for number in range(replicas):
@@ -99,14 +103,19 @@
         self.servers[server_id] = FakeServer(entry)
         self.board.registry.put(entry, self.now)
 
-    def ask(self, route=None, deadline_s=1.5):
+    def ask(self, route=None, deadline_s=1.5, fingerprint=''):
         """Sends one request; returns its id."""
         exchange_id = self.next_exchange
         self.next_exchange += 1
         self.arrived[exchange_id] = self.now
+        self.fingerprints[exchange_id] = fingerprint
         self.perform(
             self.exchanges.start(
-                exchange_id, route or self.scattered, deadline_s, self.now
+                exchange_id,
+                route or self.scattered,
+                deadline_s,
+                self.now,
+                fingerprint,
             )
         )
         return exchange_id
@@ -138,11 +147,29 @@
             elif isinstance(action, actions.Close):
                 self.closed.append(action.attempt_id)
                 self.attempts.pop(action.attempt_id, None)
+            elif isinstance(action, actions.Check):
+                self.check(action.entry)
             else:
                 took = self.now - self.arrived[action.exchange_id]
                 assert action.exchange_id not in self.answers
                 self.answers[action.exchange_id] = Received(action, took)
 
+    def check(self, entry):
+        """Reports whether a server refuses a connection."""
+        server = self.servers[entry.server_id]
+        if server.mode == 'silent':
+            self.at(self.now + 0.1, lambda: self.finish_check(entry, False))
+            return
+        crashed = server.mode == 'unreachable'
+        self.at(self.now + 0.002, lambda: self.finish_check(entry, crashed))
+
+    def finish_check(self, entry, crashed):
+        self.perform(
+            self.exchanges.handle_check(
+                entry.server_id, entry.born_ms, crashed, self.now
+            )
+        )
+
     def deliver(self, send):
         server = self.servers[send.entry.server_id]
         attempt = send.attempt_id
@@ -174,6 +201,12 @@
                 send.deadline_s,
             )
         )
+        if self.fingerprints.get(send.exchange_id) in server.crashing:
+            self.at(
+                self.now + 0.001,
+                lambda: self.crash_server(send.entry.server_id),
+            )
+            return
         end = server.finish_at(self.now)
         if server.mode == 'reset':
             self.at(end, lambda: self.lose(attempt, True, 'reset'))
