Count losses of one moment once on our own interface

Callers saw: after the loss of a failure domain, requests that had been answered before were refused as quarantined for five minutes, and those in flight ended unknown. Change: losses within a second count once unless the request ran alone and no other server was lost; a suspect query retries one shard at a time and the rest once a server has answered it; servers that ran the request no longer make its losses look like a wider failure.

--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -256,6 +256,7 @@
         query_id: The query that it belongs to.
         shard: The shard that it searches.
         kind: `first`, `hedge`, `retry`, or `alone` for a suspect fingerprint.
+        alone: Whether its query was a suspect when it was requested.
         state: `waiting` or `sent`.
         server: The server that it was sent to, or ''.
         sent_at: When it was sent.
@@ -265,6 +266,7 @@
     query_id: int
     shard: str
     kind: str
+    alone: bool
     state: str = 'waiting'
     server: str = ''
     sent_at: float = 0.0
@@ -467,13 +469,16 @@
     """A fingerprint that was running when servers were lost.
 
     Attributes:
-        losses: Number of such losses.
+        losses: Number of such losses; those of one moment count once, unless
+            the fingerprint ran alone.
         expires_at: When they are no longer counted.
+        lost_at: When the last one was counted here.
         announced_losses: Not used.
     """
 
     losses: int
     expires_at: float
+    lost_at: float = -1e9
     announced_losses: int = 0
 
 
@@ -484,14 +489,16 @@
     Attributes:
         suspects: Suspects by fingerprint, the newest last.
         safe: Fingerprints that a server has answered, the newest last.
-        losses: Time and server of recent losses.
+        losses: Time, server and running fingerprints of recent losses.
     """
 
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
     safe: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
-    losses: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    losses: list[tuple[float, str, frozenset[str]]] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/balsamshore_core/commands.py
+++ b/packages/core/balsamshore_core/commands.py
@@ -211,10 +211,17 @@
 
 
 class FingerprintSuspected(NamedTuple):
-    """A server was lost while running a request with this fingerprint."""
+    """A server was lost while running a request with this fingerprint.
+
+    Attributes:
+        fingerprint: The fingerprint.
+        server: The server.
+        alone: Whether it was already a suspect when it was sent there.
+    """
 
     fingerprint: str
     server: str
+    alone: bool
 
 
 class FingerprintSafe(NamedTuple):
--- a/packages/core/balsamshore_core/quarantine.py
+++ b/packages/core/balsamshore_core/quarantine.py
@@ -2,8 +2,10 @@
 
 A fingerprint with one loss gets one more attempt, alone on its server. After a
 second loss every node that receives the notice refuses it until the quarantine
-expires. When many servers are lost at once, the cause is assumed to be a wider
-failure and the losses count against no fingerprint.
+expires. Losses of one moment may have any cause in common and count once,
+unless the fingerprint ran alone and no other server was lost. When many servers
+are lost at once on which a fingerprint was not running, the cause is assumed to
+be a wider failure and the losses do not count against it.
 """
 
 import collections.abc
@@ -64,7 +66,16 @@
 ) -> Messages:
     losses = board.quarantine.losses
     if message.running:
-        losses.append((now, message.server))
+        attempts = [
+            board.queries.attempts[attempt_id]
+            for attempt_id in message.running
+            if attempt_id in board.queries.attempts
+        ]
+        fingerprints = frozenset(
+            board.queries.queries[attempt.query_id].fingerprint
+            for attempt in attempts
+        )
+        losses.append((now, message.server, fingerprints))
     while losses and losses[0][0] < now - MASS_LOSS_WINDOW_S:
         losses.pop(0)
     yield from ()
@@ -77,11 +88,20 @@
 ) -> Messages:
     section = board.quarantine
     section.safe.pop(message.fingerprint, None)
-    others = {name for _, name in section.losses if name != message.server}
+    others = {
+        name
+        for _, name, running in section.losses
+        if message.fingerprint not in running
+    }
     if len(others) >= MASS_LOSS_SERVERS:
         yield actions.Count('mass_losses')
         return
-    losses = count_losses(board, message.fingerprint, now) + 1
+    losses = count_losses(board, message.fingerprint, now)
+    if losses and (others or not message.alone):
+        lost_at = section.suspects[message.fingerprint].lost_at
+        if now - lost_at < MASS_LOSS_WINDOW_S:
+            return
+    losses += 1
     _store_suspect(board, message.fingerprint, losses, now)
     yield actions.Count('fingerprint_losses')
     yield commands.PeerNoticeRequested()
@@ -100,7 +120,7 @@
     suspects = board.quarantine.suspects
     lifetime = QUARANTINE_S if losses >= QUARANTINE_LOSSES else SUSPECT_S
     suspects.pop(fingerprint, None)
-    suspects[fingerprint] = blackboard.Suspect(losses, now + lifetime)
+    suspects[fingerprint] = blackboard.Suspect(losses, now + lifetime, now)
     while len(suspects) > MAX_SUSPECTS:
         suspects.pop(next(iter(suspects)))
 
--- a/packages/core/balsamshore_core/queries.py
+++ b/packages/core/balsamshore_core/queries.py
@@ -172,7 +172,7 @@
     attempt_id = section.next_attempt_id
     section.next_attempt_id += 1
     section.attempts[attempt_id] = blackboard.Attempt(
-        attempt_id, query.arrival.query_id, shard.name, kind
+        attempt_id, query.arrival.query_id, shard.name, kind, query.alone
     )
     shard.live.append(attempt_id)
     yield commands.AttemptRequested(
@@ -266,14 +266,16 @@
             shard.name,
             body,
         )
-    proved_alone = attempt.kind == 'alone'
-    if query.phase == 'canary' or proved_alone:
-        query.alone = False
+    was_suspect, query.alone = query.alone, False
+    if query.phase == 'canary' or was_suspect:
         yield commands.FingerprintSafe(query.fingerprint)
-    if query.phase == 'canary':
-        yield from _scatter(board, query, now)
     if not query.open_shards:
         yield from _finish_query(board, query, '', now)
+    elif query.phase == 'canary':
+        yield from _scatter(board, query, now)
+    elif was_suspect:
+        for shard in _list_idle_shards(query):
+            yield from _retry_lost_shard(board, query, shard, 'retry', now)
 
 
 def _handle_lost(
@@ -282,7 +284,7 @@
     popped = _pop_attempt(board, message.attempt_id)
     if popped is None:
         return
-    query, shard, _ = popped
+    query, shard, attempt = popped
     if not message.written:
         query.possible_executions -= 1
         yield from _retry_or_mark_lacking(
@@ -292,7 +294,9 @@
     if message.cause not in CRASH_CAUSES:
         yield from _handle_failure(board, query, shard, message.cause, now)
         return
-    yield commands.FingerprintSuspected(query.fingerprint, message.server)
+    yield commands.FingerprintSuspected(
+        query.fingerprint, message.server, attempt.alone
+    )
     query.alone = True
     yield from _handle_failure(board, query, shard, 'backend_server_lost', now)
 
@@ -360,9 +364,10 @@
     message: commands.SuspectRetryRequested,
     now: float,
 ) -> Messages:
-    """Retries the shards of a query with a suspect fingerprint.
+    """Retries one shard of a query with a suspect fingerprint.
 
-    Each attempt runs alone on its server. A query whose fingerprint has
+    It runs alone: the other shards that lost their server are retried once a
+    server has answered the query. A query whose fingerprint has
     QUARANTINE_LOSSES losses is finished instead. Runs after `quarantine` has
     recorded the loss, so the count includes it.
     """
@@ -373,16 +378,37 @@
     if losses >= quarantine.QUARANTINE_LOSSES:
         yield from _finish_query(board, query, 'backend_server_lost', now)
         return
-    for shard in tuple(query.shards.values()):
-        if shard.live or shard.body is not None or shard.reason:
-            continue
+    if any(shard.live for shard in query.shards.values()):
+        return
+    for shard in _list_idle_shards(query):
         if query.phase == 'canary' and not shard.tried:
             continue
-        if board.queries.retry_budget.spend():
-            yield from launch_attempt(board, query, shard, 'alone')
-        else:
-            reason = 'backend_server_lost'
-            yield from _mark_lacking(board, query, shard, reason, now)
+        yield from _retry_lost_shard(board, query, shard, 'alone', now)
+        return
+
+
+def _list_idle_shards(
+    query: blackboard.Query,
+) -> list[blackboard.ShardState]:
+    """Lists the shards that have neither an outcome nor an attempt."""
+    return [
+        shard
+        for shard in query.shards.values()
+        if not shard.live and shard.body is None and not shard.reason
+    ]
+
+
+def _retry_lost_shard(
+    board: blackboard.Blackboard,
+    query: blackboard.Query,
+    shard: blackboard.ShardState,
+    kind: str,
+    now: float,
+) -> Messages:
+    if board.queries.retry_budget.spend():
+        yield from launch_attempt(board, query, shard, kind)
+        return
+    yield from _mark_lacking(board, query, shard, 'backend_server_lost', now)
 
 
 def _claim_restart(
@@ -428,6 +454,8 @@
         yield from _finish_query(board, query, reason, now)
     elif query.phase == 'canary':
         yield from _continue_after_canary(board, query, now)
+    elif query.alone:
+        yield commands.SuspectRetryRequested(query.arrival.query_id)
 
 
 def _continue_after_canary(
--- a/packages/standins/balsamshore_standins/fakes.py
+++ b/packages/standins/balsamshore_standins/fakes.py
@@ -38,6 +38,7 @@
         shed: Whether it refuses every request because of load shedding.
         holds: Ids of the snapshots that it serves, or None for all.
         crash_bodies: Request bodies that crash it.
+        crash_after_s: Time from the start of such a request to the crash.
         restart_s: Time from a crash until it is up again.
         fails: Whether it runs attempts but replies with an error.
     """
@@ -49,6 +50,7 @@
     shed: bool = False
     holds: set[int] | None = None
     crash_bodies: set[bytes] = dataclasses.field(default_factory=set)
+    crash_after_s: float = 0.0
     restart_s: float = 1.0
     fails: bool = False
 
@@ -338,7 +340,10 @@
             )
         )
         if action.body in server.crash_bodies:
-            self.crash_server(action.server, server.restart_s)
+            self.schedule(
+                server.crash_after_s,
+                lambda: self.crash_server(action.server, server.restart_s),
+            )
             return
         node.running[action.attempt_id] = action
         self.schedule(
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,5 +1,6 @@
 """Connection faults, server crashes and overload, in virtual time."""
 
+import pytest
 import small
 
 from balsamshore_core import quantiles
@@ -184,6 +185,40 @@
     assert len(ids) == len([each for each in ids if each in node.answers])
 
 
+def test_losing_a_failure_domain_quarantines_no_request_answered_before():
+    world, (node,) = small.start_world()
+    bodies = [b'"%d"' % each for each in range(6)]
+    for body in bodies:
+        small.ask(world, node, body=body, wait_s=0.3)
+    for server in world.servers.values():
+        server.service_s = 0.05
+    ids = [world.query(node, 'whole', body) for body in bodies]
+    world.run(0.02)
+    for name in list(world.servers):
+        if name.endswith('-0'):
+            world.crash_server(name, restart_s=1.0)
+    world.run(5.0)
+    assert {node.answers[each].outcome for each in ids} == {'complete'}
+    again = [small.ask(world, node, body=body) for body in bodies]
+    assert {answer.outcome for answer in again} == {'complete'}
+
+
+@pytest.mark.parametrize('crash_after_s', [0.0, 0.05, 0.1, 0.2])
+def test_a_request_that_crashes_servers_late_is_stopped(crash_after_s):
+    world, nodes = small.start_world(nodes=3, settle_s=3.0)
+    for node in nodes:
+        small.warm_up(world, node)
+    for server in world.servers.values():
+        server.crash_bodies.add(b'"poison"')
+        server.crash_after_s = crash_after_s
+    small.ask(world, nodes[0], body=b'"poison"', wait_s=3.0)
+    first = sum(run.body == b'"poison"' for run in world.runs)
+    for each in range(6):
+        small.ask(world, nodes[each % 3], body=b'"poison"', wait_s=3.0)
+    later = sum(run.body == b'"poison"' for run in world.runs) - first
+    assert later <= 1
+
+
 def test_overload_is_refused_at_once_with_a_retry_after():
     world, (node,) = small.start_world()
     small.warm_up(world, node)
