Let a lost part wait for the check of its server only

Cause: a suspect waited for every attempt of its request, also for those that were sent before it was a suspect and say nothing about it. Before: test_a_part_lost_to_a_crash_does_not_wait_for_the_other_parts failed.

--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -447,8 +447,8 @@
         fingerprint = exchange.fingerprint
         if not self._board.quarantine.is_suspected(fingerprint):
             return False
-        return self._board.quarantine.may_be_stopped_soon(fingerprint) or any(
-            attempt.part.exchange.fingerprint == fingerprint
+        return self._board.quarantine.is_unconfirmed(fingerprint) or any(
+            attempt.alone and attempt.part.exchange.fingerprint == fingerprint
             for attempt in self._state.attempts.values()
         )
 
--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -43,8 +43,8 @@
         server_id: Id of the server.
         born_ms: Incarnation of the server.
         at: Monotonic seconds.
-        alone: Whether the request ran nowhere else and was sent to this server
-            when it was already a suspect.
+        alone: Whether the request was already a suspect when it was sent to
+            this server, so that no other run began before this one ended.
     """
 
     server_id: str
@@ -119,11 +119,6 @@
         """Returns whether it must run alone."""
         return bool(self.crashes or self.unconfirmed)
 
-    def may_be_stopped_soon(self) -> bool:
-        """Returns whether the checks in progress may stop it."""
-        count = len(self.crashes) + len(self.unconfirmed)
-        return bool(self.unconfirmed) and count >= MIN_CRASHES
-
 
 class Quarantine:
     """Suspects of this node, and the news for other nodes."""
@@ -151,10 +146,10 @@
         suspect = self._suspects.get(fingerprint)
         return suspect is not None and suspect.is_suspected()
 
-    def may_be_stopped_soon(self, fingerprint: str) -> bool:
-        """Returns whether the checks in progress may stop a request."""
+    def is_unconfirmed(self, fingerprint: str) -> bool:
+        """Returns whether a server that a request ran on is being checked."""
         suspect = self._suspects.get(fingerprint)
-        return suspect is not None and suspect.may_be_stopped_soon()
+        return suspect is not None and bool(suspect.unconfirmed)
 
     def may_hedge(self, fingerprint: str) -> bool:
         """Returns whether a slow run may be joined by a second one."""
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -22,7 +22,7 @@
 DEFAULT_KEEP_ALIVE_S = 4.0  # for servers that send no idle timeout
 RESET_ROUND_TRIPS = 1.2  # from connecting until a full server's reset arrives
 RESET_DELAY_S = 0.0005  # the server's time to accept and reset a connection
-CHECK_TIMEOUT_S = 0.1  # without an answer, nothing shows that a server crashed
+CHECK_TIMEOUT_S = 0.05  # without an answer, nothing shows that a server crashed
 MAX_RESET_WAIT_S = 0.01  # longer would make an urgent request miss its target
 SWEEP_INTERVAL_S = 1.0  # between checks for connections idle too long
 
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -141,6 +141,19 @@
     assert not node.board.quarantine.is_suspected('rare')
 
 
+def test_a_part_lost_to_a_crash_does_not_wait_for_the_other_parts():
+    cluster = make_cluster(nodes=1)
+    for server in cluster.servers.values():
+        server.work_s = 0.04
+    node, request = cluster.ask(0, 'innocent', 'scattered')
+    cluster.run(0.01)
+    cluster.crash(node.runs[0].server)
+    cluster.run(1.0)
+    received = node.answers[request]
+    assert received.answer.outcome == 'complete'
+    assert received.took_s < 0.06
+
+
 @pytest.mark.parametrize('which', ['domain', 'shard', 'all'])
 def test_servers_that_die_at_once_stop_no_request(which):
     cluster = make_cluster(shards=10)
