--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -15,6 +15,7 @@
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import delays
+from balsamshore_core.forwarding import isolation
 from balsamshore_core.forwarding import quarantine
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
@@ -28,9 +29,6 @@
 MAX_SENDS = 5  # attempts for one part, refusals included
 RESERVED_CONNECTIONS = 2  # of a server's limit, for overlapping restarts
 MAX_CONNECTIONS_PER_SERVER = 16  # of one node
-CRASH_CAUSES = frozenset(('reset', 'closed'))  # ends without any reply
-# A suspect is hedged late: a crash shows before its server could be just slow.
-SUSPECT_HEDGE_DELAYS = 3.0
 
 
 class Exchanges:
@@ -42,7 +40,7 @@
         self._timers = timers.Timers()
         self._wait_queues = waitqueues.WaitQueues()
         self._delays = delays.Delays()
-        self._held: dict[str, list[boards.Part]] = {}
+        self._isolation = isolation.Isolation(board)
 
     def start(
         self,
@@ -142,8 +140,10 @@
         part = attempt.part
         server_id = attempt.server.entry.server_id
         self._record_loss(attempt.server, written, cause, now)
-        if written and cause in CRASH_CAUSES:
-            self._suspect(attempt, now, output)
+        if written:
+            check = self._isolation.record_loss(attempt, cause, now)
+            if check is not None:
+                output.append(check)
         if not attempt.abandoned:
             exchange = part.exchange
             exchange.record_step(now, cause, part.service, server_id)
@@ -243,7 +243,7 @@
 
     def count_held(self) -> int:
         """Returns how many parts of suspects wait for their turn."""
-        return sum(map(len, self._held.values()))
+        return self._isolation.count_held()
 
     def find_connection_share(self, service: str) -> int:
         """Returns the connections that this node may hold to a server."""
@@ -272,7 +272,7 @@
 
     def _find_refusal(self, exchange: boards.Exchange, now: float) -> str:
         """Returns why a request cannot be served now, or ''."""
-        if self._is_stopped(exchange, now):
+        if self._isolation.is_stopped(exchange, now):
             return 'quarantined'
         by_service = self._board.registry.by_service
         reachable = sum(
@@ -300,12 +300,11 @@
         Returns:
             Whether the part was sent.
         """
-        if self._is_stopped(part.exchange, now):
+        if self._isolation.is_stopped(part.exchange, now):
             if not part.live:
                 self._fail_part(part, 'quarantined', now, output)
             return False
-        if kind != 'hedge' and self._must_hold(part.exchange):
-            self._hold(part, now)
+        if kind != 'hedge' and self._isolation.hold(part, now):
             return False
         candidates = self._board.registry.by_service.get(part.service)
         if not candidates:
@@ -392,11 +391,10 @@
         self, service: str, now: float, output: boards.Actions
     ) -> None:
         def send(part: boards.Part) -> bool:
-            if self._is_stopped(part.exchange, now):
+            if self._isolation.is_stopped(part.exchange, now):
                 self._fail_part(part, 'quarantined', now, output)
                 return True
-            if self._must_hold(part.exchange):
-                self._hold(part, now)
+            if self._isolation.hold(part, now):
                 return True
             server = self._choose_server(part, now)
             if server is None:
@@ -411,77 +409,16 @@
     ) -> None:
         """Sends what waited for the end of an attempt of a part."""
         self._send_waiting(part.service, now, output)
-        if self._held:
-            self._release(part.exchange.fingerprint, now, output)
-
-    def _suspect(
-        self, attempt: boards.Attempt, now: float, output: boards.Actions
-    ) -> None:
-        """Suspects a request of having crashed its server."""
-        exchange = attempt.part.exchange
-        if not exchange.fingerprint or exchange.covered:
-            return
-        entry = attempt.server.entry
-        if self._board.quarantine.record_loss(
-            exchange.fingerprint,
-            entry.server_id,
-            entry.born_ms,
-            attempt.alone,
-            now,
-        ):
-            self._board.counters['crash_checks'] += 1
-            output.append(actions.Check(entry))
-
-    def _is_stopped(self, exchange: boards.Exchange, now: float) -> bool:
-        """Returns whether a request is quarantined; notes until when."""
-        ends_at = self._board.quarantine.find_stop_end(
-            exchange.fingerprint, now
-        )
-        if ends_at is None:
-            return False
-        exchange.stopped_until = ends_at
-        return True
-
-    def _must_hold(self, exchange: boards.Exchange) -> bool:
-        """Returns whether a suspect must not be sent yet."""
-        fingerprint = exchange.fingerprint
-        if not self._board.quarantine.is_suspected(fingerprint):
-            return False
-        return self._board.quarantine.is_unconfirmed(fingerprint) or any(
-            attempt.alone and attempt.part.exchange.fingerprint == fingerprint
-            for attempt in self._state.attempts.values()
-        )
-
-    def _hold(self, part: boards.Part, now: float) -> None:
-        part.waiting = True
-        fingerprint = part.exchange.fingerprint
-        self._held.setdefault(fingerprint, []).append(part)
-        part.exchange.record_step(now, 'held', part.service)
+        self._release(part.exchange.fingerprint, now, output)
 
     def _release(
         self, fingerprint: str, now: float, output: boards.Actions
     ) -> None:
         """Sends the held parts of a request that may be sent now."""
-        for part in self._held.pop(fingerprint, ()):
-            part.waiting = False
+        for part in self._isolation.take_held(fingerprint):
             if part.is_open():
                 self._dispatch_part(part, 'alone', now, output)
 
-    def _defer_suspects_hedge(
-        self, attempt: boards.Attempt, now: float
-    ) -> bool:
-        """Returns whether a suspect is not hedged, or not yet."""
-        exchange = attempt.part.exchange
-        if not self._board.quarantine.may_hedge(exchange.fingerprint):
-            return True
-        hedge_at = attempt.sent_at + SUSPECT_HEDGE_DELAYS * (
-            self._delays.find_hedge_delay(exchange.route)
-        )
-        if now >= hedge_at:
-            return False
-        self._timers.start(hedge_at, 'hedge', attempt.attempt_id)
-        return True
-
     def _evaluate_reply(
         self,
         attempt: boards.Attempt,
@@ -585,7 +522,13 @@
             return
         if part.runs + len(part.live) >= route.max_attempts:
             return
-        if attempt.alone and self._defer_suspects_hedge(attempt, now):
+        hedge_at = self._isolation.find_hedge_time(
+            attempt, self._delays.find_hedge_delay(route)
+        )
+        if hedge_at is None:
+            return
+        if now < hedge_at:
+            self._timers.start(hedge_at, 'hedge', attempt_id)
             return
         budget = self._get_retry_budget(part.service)
         if not budget.allows_hedge(now, self._board.senders):
--- /dev/null
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -0,0 +1,100 @@
+"""Parts of suspects, which run on one server at a time.
+
+A part whose request is a suspect waits here while its servers are checked or
+while the request runs alone; see `quarantine`.
+"""
+
+from balsamshore_core.forwarding import actions
+from balsamshore_core.forwarding import board as boards
+
+CRASH_CAUSES = frozenset(('reset', 'closed'))  # ends without any reply
+# A suspect is hedged late: a crash shows before its server could be just slow.
+SUSPECT_HEDGE_DELAYS = 3.0
+
+
+class Isolation:
+    """Decides when the parts of suspects are sent."""
+
+    def __init__(self, board: boards.Board):
+        self._board = board
+        self._held: dict[str, list[boards.Part]] = {}
+
+    def is_stopped(self, exchange: boards.Exchange, now: float) -> bool:
+        """Returns whether a request is quarantined; notes until when."""
+        ends_at = self._board.quarantine.find_stop_end(
+            exchange.fingerprint, now
+        )
+        if ends_at is None:
+            return False
+        exchange.stopped_until = ends_at
+        return True
+
+    def hold(self, part: boards.Part, now: float) -> bool:
+        """Holds a part that must not be sent yet; returns whether it is."""
+        exchange = part.exchange
+        if not self._must_wait(exchange.fingerprint):
+            return False
+        part.waiting = True
+        self._held.setdefault(exchange.fingerprint, []).append(part)
+        exchange.record_step(now, 'held', part.service)
+        return True
+
+    def take_held(self, fingerprint: str) -> list[boards.Part]:
+        """Returns the held parts of a request, which no longer wait here."""
+        parts = self._held.pop(fingerprint, [])
+        for part in parts:
+            part.waiting = False
+        return [part for part in parts if part.is_open()]
+
+    def count_held(self) -> int:
+        """Returns how many parts wait."""
+        return sum(map(len, self._held.values()))
+
+    def record_loss(
+        self, attempt: boards.Attempt, cause: str, now: float
+    ) -> actions.Check | None:
+        """Records an attempt that was lost after it was written.
+
+        Returns:
+            The check of its server, if the server may have crashed and is not
+            being checked already.
+        """
+        exchange = attempt.part.exchange
+        entry = attempt.server.entry
+        # A request that a server has answered does not crash servers.
+        if cause not in CRASH_CAUSES or exchange.covered:
+            return None
+        if not exchange.fingerprint:
+            return None
+        must_check = self._board.quarantine.record_loss(
+            exchange.fingerprint,
+            entry.server_id,
+            entry.born_ms,
+            attempt.alone,
+            now,
+        )
+        if not must_check:
+            return None
+        self._board.counters['crash_checks'] += 1
+        return actions.Check(entry)
+
+    def find_hedge_time(
+        self, attempt: boards.Attempt, hedge_delay_s: float
+    ) -> float | None:
+        """Returns from when an attempt may be hedged, or None for never."""
+        if not attempt.alone:
+            return attempt.sent_at
+        if not self._board.quarantine.may_hedge(
+            attempt.part.exchange.fingerprint
+        ):
+            return None
+        return attempt.sent_at + SUSPECT_HEDGE_DELAYS * hedge_delay_s
+
+    def _must_wait(self, fingerprint: str) -> bool:
+        quarantine = self._board.quarantine
+        if not quarantine.is_suspected(fingerprint):
+            return False
+        return quarantine.is_unconfirmed(fingerprint) or any(
+            attempt.alone and attempt.part.exchange.fingerprint == fingerprint
+            for attempt in self._board.exchanges.attempts.values()
+        )
