Let the soak repeat requests that crash every server that runs them

Change: a crasher repeats a plain and a scattered request at random nodes while nodes are killed, stopped and restarted; the soak checks that nodes in touch send each on at most three times later than 4 s after its third crash.

--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -49,6 +49,7 @@
     at: float
     server_id: str
     request_id: str
+    target: str
 
 
 class CallerResponse(NamedTuple):
@@ -209,7 +210,7 @@
         listening = self._server_sockets[server_id]
         if listening.server is None:
             return
-        listening.close()
+        listening.crash()
         await asyncio.sleep(down_s)
         entry = self.servers[server_id]
         entry['born'] += 1
@@ -238,7 +239,8 @@
         )
         if raw.target.decode() in self.crashing_targets:
             now = asyncio.get_running_loop().time()
-            self.crashes.append(Crash(now, server_id, request_id))
+            target = raw.target.decode()
+            self.crashes.append(Crash(now, server_id, request_id, target))
             task = asyncio.create_task(self.crash_server(server_id))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -410,10 +412,14 @@
         )
 
     def close(self):
-        """Ends all connections; new ones are refused."""
+        """Refuses new connections; open ones stay open."""
         if self.server is not None:
             self.server.close()
             self.server = None
+
+    def crash(self):
+        """Refuses new connections and ends the open ones."""
+        self.close()
         for task in tuple(self._tasks):
             task.cancel()
 
--- a/tests/adapter/sabotage.py
+++ b/tests/adapter/sabotage.py
@@ -10,6 +10,7 @@
 
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import exchanges
+from balsamshore_core.forwarding import quarantine
 from balsamshore_node.forwarding import host
 from balsamshore_platform import core
 from balsamshore_platform import headers
@@ -63,7 +64,14 @@
     host.Host._continue_shutdown = stop_at_once
 
 
+def forget_crashes():
+    """Forgets at once that servers crashed under a request."""
+    quarantine.Quarantine.record_loss = lambda *arguments: False
+    quarantine.Quarantine.apply_notices = lambda *arguments: []
+
+
 FAULTS = {
+    'forget': forget_crashes,
     'repeat': retry_every_request,
     'refuse': refuse_failed_requests,
     'cross': return_previous_replies,
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -6,9 +6,10 @@
 seed determines the faults: nodes are stopped, continued, terminated, killed,
 restarted and made to reload their settings; the store fails, does not reply
 or is reached through a proxy that delays, resets and stalls connections;
-servers fail in many ways. The test checks what callers and servers observed
-against the program's guarantees. On violations it prints their seeds and
-exits with status 1.
+servers fail in many ways, and two requests crash each server that runs them
+and are repeated at random nodes. The test checks what callers and servers
+observed against the program's guarantees. On violations it prints their seeds
+and exits with status 1.
 
     python -m adapter.soak --seeds=1-3 --fault=repeat
 
@@ -38,6 +39,10 @@
 MEAN_FAULT_PAUSE_S = 0.5  # the pause between two faults is random
 RECOVERY_S = 8.0
 REFUSAL_STATUSES = (429, 503)
+CRASHING_TARGETS = ('/p/crash', '/q/crash')
+CRASH_REPEAT_S = 0.3
+STABLE_WINDOW_S = 4.0  # after a signal to a node or the third crash
+MAX_LATE_RETRIES = 3  # of one crashing request, after the window
 
 
 class Caller:
@@ -90,12 +95,70 @@
         return not reply.closing
 
 
+class Crasher:
+    """Repeats the crashing requests, each time at a random node."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.rng = random.Random(soak.rng.random())
+        self.sent = {}
+
+    async def run(self):
+        platform = self.soak.platform
+        platform.crashing_targets.update(CRASHING_TARGETS)
+        loop = asyncio.get_running_loop()
+        while not self.soak.ended:
+            index = self.rng.randint(1, NODES)
+            target = self.rng.choice(CRASHING_TARGETS)
+            sent_at = loop.time()
+            try:
+                response = await asyncio.wait_for(
+                    platform.send_request(index, target), 4.0
+                )
+            except (OSError, TimeoutError, messages.MessageError):
+                await asyncio.sleep(CRASH_REPEAT_S)
+                continue
+            self.sent[response.request_id] = (target, index, sent_at)
+            if response.status in REFUSAL_STATUSES:
+                self.soak.refused.add(response.request_id)
+            await asyncio.sleep(CRASH_REPEAT_S)
+
+    def list_late_retries(self, target):
+        """Lists the ids that nodes in touch sent on after the window."""
+        crashes = [
+            crash
+            for crash in self.soak.platform.crashes
+            if crash.target == target
+        ]
+        if len(crashes) < 3:
+            return []
+        late_at = crashes[2].at + STABLE_WINDOW_S
+        return sorted(
+            {
+                crash.request_id
+                for crash in crashes
+                if crash.at > late_at and self._is_in_touch(crash)
+            }
+        )
+
+    def _is_in_touch(self, crash):
+        if crash.request_id not in self.sent:
+            return False
+        _, index, sent_at = self.sent[crash.request_id]
+        return all(
+            not sent_at - STABLE_WINDOW_S <= at <= crash.at
+            for signalled, at in self.soak.signals
+            if signalled == index
+        )
+
+
 class Soak:
     """One run of the soak test.
 
     Attributes:
         interrupted_nodes: Indexes of nodes that were stopped or killed, whose
             answers may be truncated.
+        signals: Node index and time of each signal and start.
     """
 
     def __init__(self, seed, folder, fault=''):
@@ -108,6 +171,7 @@
         self.refused = set()
         self.answers = 0
         self.interrupted_nodes = set()
+        self.signals = []
         self.version = 1
 
     async def run(self, seconds):
@@ -134,11 +198,14 @@
                 for index in range(1, NODES + 1)
                 for number in range(2)
             ]
+            crasher = Crasher(self)
+            callers.append(asyncio.create_task(crasher.run()))
             await self.inject_faults(seconds)
             await self.recover()
             self.ended = True
             await asyncio.wait(callers, timeout=5.0)
             self.check_ledger()
+            self.check_crashes(crasher)
         finally:
             proxy_task.cancel()
             for name in tuple(platform.processes):
@@ -184,6 +251,7 @@
         )  # fmt: skip
         if signal_number in (signal.SIGSTOP, signal.SIGKILL):
             self.interrupted_nodes.add(index)
+        self.record_signal(index)
         self.platform.send_signal(name, signal_number)
         if self.platform.processes[name].poll() is not None:
             self.platform.send_signal(name, signal.SIGCONT)
@@ -197,11 +265,13 @@
         self.proxy.apply(proxy.Rule())
         for index in range(1, NODES + 1):
             name = f'n{index}'
+            self.record_signal(index)
             platform.send_signal(name, signal.SIGCONT)
             await asyncio.sleep(0.1)
         for _ in range(round(RECOVERY_S / 0.2)):
             for index in range(1, NODES + 1):
                 if platform.processes[f'n{index}'].poll() is not None:
+                    self.record_signal(index)
                     platform.start_node(f'n{index}', index)
             await asyncio.sleep(0.2)
         for index in range(1, NODES + 1):
@@ -209,6 +279,9 @@
             if response.status != 200 or 'missing-parts' in response.headers:
                 self.violations.append(f'node {index} does not recover')
 
+    def record_signal(self, index):
+        self.signals.append((index, asyncio.get_running_loop().time()))
+
     def record_truncated_answer(self, index, started):
         if started and index not in self.interrupted_nodes:
             self.violations.append(f'node {index} truncated an answer')
@@ -253,6 +326,16 @@
         if not self.answers:
             self.violations.append('no caller received an answer')
 
+    def check_crashes(self, crasher):
+        """Checks that crashing requests are not sent on and on."""
+        for target in CRASHING_TARGETS:
+            late = crasher.list_late_retries(target)
+            if len(late) > MAX_LATE_RETRIES:
+                self.violations.append(
+                    f'{target} reached servers {len(late)} times more, as '
+                    f'{", ".join(late)}'
+                )
+
 
 def run_seed(seed, seconds, fault=''):
     """Runs one seed; returns the violations and the number of answers."""
