Explain the quarantine's decisions; log each wait of a suspect once

Cause: in a run with the real program, 'explain' showed 'class None' for the decisions of the quarantine, and a scattered suspect logged a step for each time it was considered again (20 steps in one answer).

--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -102,6 +102,13 @@
             f'{origin} refused with {line.get("status")}'
             + (f': {explanation}' if explanation else '')
         ]
+    if line.get('event') == 'quarantine':
+        return [
+            f'{origin} request {line.get("fingerprint")}: '
+            f'{line.get("message")}; last server {line.get("server")}, '
+            f'{line.get("crashes")} crashes, stopped for '
+            f'{line.get("stopped_s")} s'
+        ]
     text = f'{origin} class {line.get("route")}, {line.get("outcome")}'
     if line.get('missing'):
         text += f', {line["missing"]} shards missing'
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -25,11 +25,14 @@
         not_before: When the next round may begin.
         tried: Ids of the servers tried in this round.
         live: Attempts whose replies are awaited.
+        held: Whether it waits, since its last attempt, for its turn as part of
+            a suspect; see `isolation`.
     """
 
     __slots__ = (
         'exchange',
         'failure',
+        'held',
         'live',
         'not_before',
         'reply',
@@ -53,6 +56,7 @@
         self.tried: list[str] = []
         self.live: list[Attempt] = []
         self.waiting = False
+        self.held = False
 
     def is_open(self) -> bool:
         """Returns whether the part has no result yet."""
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -359,6 +359,7 @@
         part.live.append(attempt)
         part.tried.append(server_id)
         part.sends += 1
+        part.held = False
         if kind != 'first':
             exchange.record_step(now, kind, part.service, server_id)
         self._board.counters[f'sent_{kind}'] += 1
--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -36,7 +36,9 @@
             return False
         part.waiting = True
         self._held.setdefault(exchange.fingerprint, []).append(part)
-        exchange.record_step(now, 'held', part.service)
+        if not part.held:
+            part.held = True
+            exchange.record_step(now, 'held', part.service)
         return True
 
     def take_held(self, fingerprint: str) -> list[boards.Part]:
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -61,3 +61,18 @@
     output = env.stdout.getvalue()
     assert output.count('fingerprint f1') == 2
     assert 'f2' not in output
+
+
+def test_decisions_about_a_crashing_request_are_explained(tmp_path):
+    log = tmp_path / 'n1.log'
+    decision = {
+        'time': '2026-01-01T00:00:01+00:00', 'vm': 'n1', 'what': 'stopped',
+        'event': 'quarantine', 'fingerprint': 'f1', 'server': 'i-1',
+        'crashes': 3, 'stopped_s': 30.0, 'message': 'a request is not sent on',
+    }  # fmt: skip
+    log.write_text(json.dumps(decision) + '\n')
+    env = environment.Environment({}, io.StringIO(), io.StringIO())
+    assert core.main(['explain', 'f1', str(log)], env) == 0
+    output = env.stdout.getvalue()
+    assert 'n1: request f1: a request is not sent on' in output
+    assert 'last server i-1, 3 crashes, stopped for 30.0 s' in output
