Tell a new process of suspects as well, not of stops only

Cause: a process that starts was told what is stopped, not what has one or two crashes. After a rolling restart the evidence was gone. Change: reminders name stopped requests first and then the newest suspects. Before: test_evidence_survives_a_rolling_restart failed with 8 servers lost to one request, one at a time, while all nodes were replaced between its repeats.

--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -132,7 +132,7 @@
         )
         self._own_name = ''
         self._active_nodes: tuple[str, ...] = ()
-        self._next_repeated = 0
+        self._next_reminder = 0
 
     def set_nodes(
         self, own_name: str, active_nodes: collections.abc.Iterable[str]
@@ -284,20 +284,25 @@
         ]
         return self._build_notices(recent[-MAX_NOTICES:], now)
 
-    def list_stopped(self, now: float) -> list[Notice]:
-        """Lists some stopped requests, others at the next call."""
-        stopped = [
-            fingerprint
-            for fingerprint, suspect in self._suspects.items()
-            if suspect.stops
-        ]
-        if not stopped:
-            return []
-        start = self._next_repeated % len(stopped)
-        self._next_repeated = start + MAX_NOTICES
-        return self._build_notices(
-            [*stopped[start:], *stopped[:start]][:MAX_NOTICES], now
-        )
+    def list_reminders(self, now: float) -> list[Notice]:
+        """Lists requests to tell nodes that may not know them.
+
+        Stopped requests come first, others of them at each call; then the
+        newest suspects.
+        """
+        stopped = []
+        suspected = []
+        for fingerprint, suspect in self._suspects.items():
+            if suspect.stops:
+                stopped.append(fingerprint)
+            elif suspect.crashes:
+                suspected.append(fingerprint)
+        if stopped:
+            start = self._next_reminder % len(stopped)
+            self._next_reminder = start + MAX_NOTICES
+            stopped = [*stopped[start:], *stopped[:start]]
+        fingerprints = [*stopped, *reversed(suspected)]
+        return self._build_notices(fingerprints[:MAX_NOTICES], now)
 
     def take_decisions(self) -> list[Decision]:
         """Returns the decisions since the last call."""
--- a/packages/core/balsamshore_core/forwarding/rumors.py
+++ b/packages/core/balsamshore_core/forwarding/rumors.py
@@ -2,7 +2,7 @@
 
 Active nodes are told at once, of a stop all nodes. Datagrams may be lost, so
 what a node learned lately it repeats with its heartbeats to random nodes. What
-was stopped longer ago it tells to nodes that are new here, and now and then to
+it learned longer ago it tells to nodes that are new here, and now and then to
 random nodes, because a partition may have ended.
 """
 
@@ -52,7 +52,7 @@
         self._heartbeats += 1
         notices = self._quarantine.list_rumors(now)
         if not notices and self._heartbeats % HEARTBEATS_PER_REMINDER == 0:
-            notices = self._quarantine.list_stopped(now)
+            notices = self._quarantine.list_reminders(now)
         recipients = [
             host
             for message in messages[: fleets.RANDOM_MESSAGES]
@@ -72,7 +72,7 @@
         """
         if not records or not self._fleet.is_new_process(records[0]):
             return []
-        return _build_messages([host], self._quarantine.list_stopped(now))
+        return _build_messages([host], self._quarantine.list_reminders(now))
 
 
 def _build_messages(
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -240,13 +240,28 @@
     cluster = make_cluster()
     repeat(cluster, 3.0)
     node = cluster.replace_node(1)
-    stopped = cluster.nodes[0].board.quarantine.list_stopped(cluster.now)
+    stopped = cluster.nodes[0].board.quarantine.list_reminders(cluster.now)
     node.perform(node.exchanges.apply_notices(stopped, node.now))
     crashes = len(cluster.crashes)
     repeat(cluster, 6.0)
     assert len(cluster.crashes) == crashes
 
 
+def test_evidence_survives_a_rolling_restart():
+    cluster = make_cluster()
+    for step in range(8):
+        node = cluster.nodes[step % 3]
+        route = worlds.make_route('/n/', service='s0', idempotent=False)
+        node.ask(route, fingerprint=POISON)
+        cluster.run(quarantines.RUMOR_S + 1.0)
+        for number in range(3):
+            teller = cluster.nodes[(number + 1) % 3].board.quarantine
+            notices = teller.list_reminders(cluster.now)
+            node = cluster.replace_node(number)
+            node.perform(node.exchanges.apply_notices(notices, node.now))
+    assert len(cluster.crashes) == quarantines.MIN_CRASHES
+
+
 def test_a_stopped_request_is_tried_by_one_node_at_a_time():
     cluster = make_cluster()
     repeat(cluster, 3.0)
@@ -397,7 +412,7 @@
 
 
 def tell_newcomers_nothing(patch):
-    patch.setattr(quarantines.Quarantine, 'list_stopped', lambda *_: [])
+    patch.setattr(quarantines.Quarantine, 'list_reminders', lambda *_: [])
 
 
 def never_hold(patch):
