Check that streamed shards come before the summary

Change: it takes what was released at the moment of the summary and compares the names of the shards; stricter than what was meant before.

--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -229,11 +229,17 @@
 
 def test_streamed_shards_come_before_the_summary():
     world, (node,) = small.start_world()
+    released_at_summary = []
+
+    class Answers(dict):
+        def __setitem__(self, query_id, answer):
+            super().__setitem__(query_id, answer)
+            released_at_summary.extend(part.shard for part in node.released)
+
+    node.answers = Answers()
     answer = small.ask(world, node, stream=True)
-    assert [part.shard for part in node.released].sort() == [
-        *answer.results
-    ].sort()
-    assert len(node.released) == 4
+    assert sorted(released_at_summary) == sorted(answer.results)
+    assert len(node.released) == len(released_at_summary) == 4
 
 
 def test_slow_servers_do_not_exceed_the_connection_share():
