Do not take a node's first sample of requests for a rate

Cause: a process measured its request rate some milliseconds after its start and counted exchange ids, which begin at one. One id in 20 ms is a rate of 50 a second, so a node without callers reported itself as active for about four seconds, and all others counted it as a sender for 30 s. Change: samples shorter than half a second wait; requests are counted by the counter of requests. Result: the new test failed before.

--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -586,7 +586,7 @@
             self._send_slowness_reports(now)
         if ticks % TICKS_PER_USAGE_SAMPLE == 0:
             self._usage.measure(
-                now, self._next_exchange_id, self.settings.capacity
+                now, self.board.counters['requests'], self.settings.capacity
             )
         if ticks % TICKS_PER_RELOAD == 0:
             self._reload_settings()
--- a/packages/node/balsamshore_node/forwarding/usage.py
+++ b/packages/node/balsamshore_node/forwarding/usage.py
@@ -4,6 +4,7 @@
 
 ACTIVE_REQUESTS_PER_S = 2.0  # a node above this rate counts as active
 EWMA_WEIGHT = 0.5  # weight of the newest second
+MIN_SAMPLE_S = 0.5  # one request in a shorter sample is no rate
 WARM_UP_S = 2.0  # processor time used at startup does not predict the load
 
 
@@ -36,7 +37,7 @@
             capacity: Processor cores that the process may use.
         """
         elapsed_s = now - self._measured_at
-        if elapsed_s <= 0:
+        if elapsed_s < MIN_SAMPLE_S:
             return
         cpu_s = time.process_time()
         load = (cpu_s - self._cpu_s) / elapsed_s / capacity
--- a/tests/forwarding/test_usage.py
+++ b/tests/forwarding/test_usage.py
@@ -28,3 +28,12 @@
     measured = usage.Usage(100.0)
     measured.measure(101.0, 10, 1.0)
     assert measured.active
+
+
+def test_one_request_at_the_start_does_not_make_a_node_active():
+    # The first sample was taken some milliseconds after the start.
+    measured = usage.Usage(100.0)
+    measured.measure(100.02, 1, 1.0)
+    assert not measured.active
+    measured.measure(101.02, 1, 1.0)
+    assert not measured.active
