Log what decided a denied retry, the number of senders and each check

Cause: the logs could not tell whether extra arrivals come from a wrong number of senders, nor why a lost connection was not counted as a crash. Change: hedge_denied and retry_denied carry what was spent and allowed and by how many senders the slack was divided; a line when the number of senders changes; a line when a checked server accepts connections.

--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -490,6 +490,7 @@
             budget = self._get_retry_budget(part.service)
             if not budget.spend_retry(now, self._board.senders):
                 limit = 'retry_denied'
+                used = budget.describe(now, self._board.senders)
         if not limit:
             self._dispatch_part(part, 'retry', now, output)
             return
@@ -534,7 +535,10 @@
         budget = self._get_retry_budget(part.service)
         if not budget.allows_hedge(now, self._board.senders):
             self._board.counters['hedge_denied'] += 1
-            part.exchange.record_step(now, 'hedge_denied', part.service)
+            spent = budget.describe(now, self._board.senders)
+            part.exchange.record_step(
+                now, 'hedge_denied', part.service, '', spent
+            )
             return
         if self._dispatch_part(part, 'hedge', now, output):
             budget.spend(now, self._board.senders)
--- a/packages/core/balsamshore_core/forwarding/retrybudgets.py
+++ b/packages/core/balsamshore_core/forwarding/retrybudgets.py
@@ -104,6 +104,12 @@
         self._add(self._extras, now)
         return True
 
+    def describe(self, now: float, senders: int) -> str:
+        """Returns what is spent and allowed, for the log."""
+        left = self.count_left(now, senders)
+        spent = self._extras_sum
+        return f'{spent} of {spent + left:.1f} spent, {senders} senders'
+
     def count_left(self, now: float, senders: int) -> float:
         """Returns how many extra attempts may still be sent."""
         limits = self._limits
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -573,7 +573,7 @@
             for message in messages:
                 self._send_message(message)
             self._send_notices(self._rumors.repeat(messages, now))
-            self.board.senders = self.fleet.count_senders(now)
+            self._update_senders(now)
             self.board.quarantine.set_nodes(
                 self.settings.name, self.fleet.list_active_names(now)
             )
@@ -607,6 +607,17 @@
             self._continue_shutdown(now)
         self._log.flush()
 
+    def _update_senders(self, now: float) -> None:
+        senders = self.fleet.count_senders(now)
+        if senders != self.board.senders:
+            loguru.logger.bind(
+                event='senders',
+                senders=senders,
+                before=self.board.senders,
+                alive=len(self.fleet.list_alive(now)) + 1,
+            ).info('number of nodes that share the limits of servers')
+        self.board.senders = senders
+
     def _log_reader_change(self, rank: int, peer_checked_age_s: float) -> None:
         reads_store = self.follower.state != 'idle'
         if reads_store != self._reads_store:
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -307,16 +307,18 @@
         host, port = sockets.split_address(entry.address)
         self.opened += 1
         crashed = False
+        log = loguru.logger.bind(
+            event='check', server=entry.server_id, born_ms=entry.born_ms
+        )
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_S):
                 transport, _ = await self._loop.create_connection(
                     asyncio.Protocol, host, port
                 )
             transport.abort()
+            log.info('a lost connection is no crash: it accepts a new one')
         except ConnectionRefusedError:
             crashed = True
         except (OSError, TimeoutError) as error:
-            loguru.logger.bind(event='check', server=entry.server_id).info(
-                f'cannot tell whether it crashed: {error!r}'
-            )
+            log.info(f'cannot tell whether it crashed: {error!r}')
         self._on_check(entry, crashed)
