--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -17,6 +17,9 @@
 import urllib.parse
 from typing import NamedTuple
 
+from adapter import ledgers
+from adapter import listeners
+
 from balsamshore_node.forwarding import messages
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -33,25 +36,6 @@
 PROCESSING_S = {'slow': 0.4, 'slower': 2.5}  # by mode of the server
 
 
-class ExecutedRequest(NamedTuple):
-    """One request that a server started to execute."""
-
-    request_id: str
-    server_id: str
-    service: str
-    target: str
-    body: bytes
-
-
-class Crash(NamedTuple):
-    """A server's crash under a request; seconds of the event loop's clock."""
-
-    at: float
-    server_id: str
-    request_id: str
-    target: str
-
-
 class CallerResponse(NamedTuple):
     """A caller's response; status 0 if the connection closed early."""
 
@@ -65,7 +49,7 @@
     """Store, servers, callers and node processes.
 
     Attributes:
-        executed: Ledger of all requests that servers executed.
+        ledger: What callers sent and servers received.
         store_modes_by_host: How the store treats single hosts: `busy` (status
             503), `reset` (resets the connection) or `silent` (no reply);
             others get `store_mode`.
@@ -75,9 +59,12 @@
             (not HTTP), `unframed` (no content length), `broken` (truncated
             body), `slow` or `slower`.
         crashing_targets: Targets of requests that crash each server that
-            executes them; the server is back after `CRASH_DOWN_S` with a new
+            executes them; the server is back after `crash_down_s` with a new
             `born`.
-        crashes: Ledger of all crashes.
+        crash_manner: How a server crashes: `closed` (before any byte of the
+            answer; new connections are refused), `truncated` (likewise, within
+            the answer), `supervised` (its listening socket stays open) or
+            `silent` (nothing is closed or answered until it is back).
     """
 
     def __init__(self, folder, network='127.77'):
@@ -90,11 +77,14 @@
         self.store_modes_by_host = {}
         self.store_mode = 'ok'
         self.store_calls = 0
-        self.executed = []
+        self.ledger = ledgers.Ledger()
+        self.executed = self.ledger.executed
+        self.crashes = self.ledger.crashes
         self.store_host = f'{network}.0.1'
         self.server_modes = {}
         self.crashing_targets = set()
-        self.crashes = []
+        self.crash_manner = 'closed'
+        self.crash_down_s = CRASH_DOWN_S
         self.servers = {}
         self._server_sockets = {}
         self.processes = {}
@@ -150,12 +140,16 @@
         if mode == 'reset':
             return None
         if mode == 'busy':
-            return encode(503)
+            return listeners.encode(503)
         target = urllib.parse.urlsplit(raw.target.decode())
         query = dict(urllib.parse.parse_qsl(target.query))
         if target.path == '/v1/kv-key':
             item = self.items.get(query['key'])
-            return encode(404) if item is None else self._encode_json(item)
+            return (
+                listeners.encode(404)
+                if item is None
+                else self._encode_json(item)
+            )
         if target.path == '/v1/kv-range':
             keys = sorted(
                 key
@@ -167,7 +161,7 @@
             return self._encode_json({'items': page, 'hasMore': len(keys) > 5})
         after = int(query['after'])
         if after < self.history_floor:
-            return encode(410)
+            return listeners.encode(410)
         deadline = asyncio.get_running_loop().time()
         deadline += int(query['waitMs']) / 1000
         while True:
@@ -183,7 +177,7 @@
 
     def _encode_json(self, fields):
         body = json.dumps({**fields, 'asOf': self.revision}).encode()
-        return encode(200, body, {'Content-Type': 'application/json'})
+        return listeners.encode(200, body, {'Content-Type': 'application/json'})
 
     # Servers
 
@@ -198,52 +192,68 @@
         self.server_modes[server_id] = 'ok'
 
         async def answer(raw, peer):
-            return await self._answer_server(server_id, service, raw)
+            return await self._answer_server(server_id, service, raw, peer)
 
         self._server_sockets[server_id] = await self._listen(
             host, SERVER_PORT, answer
         )
         await self.put(f'servers/{server_id}', entry)
 
-    async def crash_server(self, server_id, down_s=CRASH_DOWN_S):
+    async def crash_server(self, server_id):
         """Ends all connections of a server, which starts again later."""
         listening = self._server_sockets[server_id]
-        if listening.server is None:
+        if listening.down:
             return
-        listening.crash()
-        await asyncio.sleep(down_s)
+        now = asyncio.get_running_loop().time()
+        self.ledger.ended[server_id].append(now)
+        listening.crash(self.crash_manner)
+        await asyncio.sleep(self.crash_down_s)
+        await listening.restart()
         entry = self.servers[server_id]
         entry['born'] += 1
-        await listening.open()
         await self.put(f'servers/{server_id}', entry)
 
     async def drain(self, server_id):
         entry = {**self.servers[server_id], 'state': 'draining', 'seq': 2}
         await self.put(f'servers/{server_id}', entry)
 
-    async def _answer_server(self, server_id, service, raw):
+    async def _answer_server(self, server_id, service, raw, peer):
         headers = {name.decode(): value.decode() for name, value in raw.headers}
         request_id = headers.get('request-id', '')
+        target = raw.target.decode()
         mode = self.server_modes[server_id]
+        misdirected = headers.get('target-instance', server_id) != server_id
+        executed = not misdirected and mode not in ('dark', 'full')
+        now = asyncio.get_running_loop().time()
+        if not misdirected:
+            deadline_ms = headers.get('deadline-ms')
+            self.ledger.arrivals.append(
+                ledgers.Arrival(
+                    now, request_id, service, server_id,
+                    self.servers[server_id]['born'],
+                    None if deadline_ms is None else float(deadline_ms) / 1000,
+                    executed, peer,
+                )
+            )  # fmt: skip
         if mode == 'dark':
             await asyncio.sleep(60)
-        if headers.get('target-instance', server_id) != server_id:
-            return encode(421, b'', {'Instance-Id': server_id})
+        if misdirected:
+            return listeners.encode(421, b'', {'Instance-Id': server_id})
         if mode == 'full':
-            return encode(503, b'', {'Not-Executed': '1'})
-        body = raw.read_body()
+            return listeners.encode(503, b'', {'Not-Executed': '1'})
         self.executed.append(
-            ExecutedRequest(
-                request_id, server_id, service, raw.target.decode(), body
+            ledgers.ExecutedRequest(
+                request_id, server_id, service, target, raw.read_body()
             )
         )
-        if raw.target.decode() in self.crashing_targets:
-            now = asyncio.get_running_loop().time()
-            target = raw.target.decode()
-            self.crashes.append(Crash(now, server_id, request_id, target))
-            task = asyncio.create_task(self.crash_server(server_id))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        if target in self.crashing_targets:
+            self.crashes.append(
+                ledgers.Crash(now, server_id, request_id, target)
+            )
+            self._start(self.crash_server(server_id))
+            if self.crash_manner == 'truncated':
+                answer = listeners.encode(200, bytes(100))
+                return answer[:-50] + listeners.CLOSE_MARKER
             await asyncio.sleep(60)
         await asyncio.sleep(PROCESSING_S.get(mode, 0.005))
         seal = f'{server_id}.{request_id}'
@@ -257,28 +267,41 @@
         if mode == 'garbage':
             return b'\x00\x01 not http at all\r\n\r\n'
         if mode == 'broken':
-            return encode(200, payload, fields)[:-20] + CLOSE_MARKER
+            return (
+                listeners.encode(200, payload, fields)[:-20]
+                + listeners.CLOSE_MARKER
+            )
         if mode == 'unframed':
             lines = ''.join(f'{n}: {v}\r\n' for n, v in fields.items())
             head = f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
-            return head + payload + CLOSE_MARKER
-        answer = encode(200, payload, fields)
+            return head + payload + listeners.CLOSE_MARKER
+        answer = listeners.encode(200, payload, fields)
         if mode == 'late_extra':
-            other = encode(200, b'stale', {**fields, 'Request-Id': 'other'})
+            other = listeners.encode(
+                200, b'stale', {**fields, 'Request-Id': 'other'}
+            )
             return answer + other
         return answer
 
+    def _start(self, work):
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     # Nodes
 
     def write_settings(self, name, index, seeds=(1, 2, 3)):
         host = f'{self.network}.2.{index}'
+        bounds = self.ledger.bounds
         values = {
             'bootstrap': False,
             'node': name, 'ip': host, 'zone': f'z{index % 2}',
             'seeds': [f'{self.network}.2.{seed}:8224' for seed in seeds],
             'limits.cpuShare': 0.5, 'limits.cores': 2,
-            'bounds.graceS': GRACE_S, 'bounds.retryRatio': 0.2,
-            'bounds.retrySlack': 54, 'bounds.retryWindowS': 10,
+            'bounds.graceS': GRACE_S,
+            'bounds.retryRatio': bounds.extra_ratio,
+            'bounds.retrySlack': bounds.extra_slack,
+            'bounds.retryWindowS': bounds.extra_window_s,
             'platform.address': f'{self.store_host}:{STORE_PORT}',
         }  # fmt: skip
         for field, port in PORTS.items():
@@ -346,10 +369,22 @@
         self._next_request += 1
         fields = {'Host': HOST, 'Request-Id': request_id,
                   'Deadline-Ms': '3000', **headers}  # fmt: skip
+        self.record_sent(
+            request_id, target, float(fields['Deadline-Ms']) / 1000, index
+        )
         return await self.send_http_request(
             f'{self.network}.2.{index}', 8226, method, target, body, fields
         )
 
+    def record_sent(self, request_id, target, deadline_s, index):
+        now = asyncio.get_running_loop().time()
+        services = ('a', 'b', 'c') if target.startswith('/q/') else ('a',)
+        self.ledger.sent.append(
+            ledgers.SentRequest(
+                now, request_id, target, services, deadline_s, index
+            )
+        )
+
     async def send_request_until_accepted(self, index, target, timeout_s=20.0):
         """Retries the request while the connection is refused."""
         loop = asyncio.get_running_loop()
@@ -390,80 +425,12 @@
             writer.close()
 
     async def _listen(self, host, port, answer):
-        listening = Listening(host, port, answer)
+        listening = listeners.Listening(host, port, answer)
         await listening.open()
         self._listeners.append(listening)
         return listening
 
 
-class Listening:
-    """One listening address and its connections."""
-
-    def __init__(self, host, port, answer):
-        self.host = host
-        self.port = port
-        self.answer = answer
-        self.server = None
-        self._tasks = set()
-
-    async def open(self):
-        self.server = await asyncio.start_server(
-            self._serve, self.host, self.port
-        )
-
-    def close(self):
-        """Refuses new connections; open ones stay open."""
-        if self.server is not None:
-            self.server.close()
-            self.server = None
-
-    def crash(self):
-        """Refuses new connections and ends the open ones."""
-        self.close()
-        for task in tuple(self._tasks):
-            task.cancel()
-
-    async def _serve(self, reader, writer):
-        peer = writer.get_extra_info('peername')[0]
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        try:
-            await serve_requests(reader, writer, self.answer, peer)
-        except (OSError, asyncio.CancelledError):
-            return
-        finally:
-            self._tasks.discard(task)
-            writer.close()
-
-
-CLOSE_MARKER = b'\x00cut'  # suffix of an answer that closes its connection
-
-
-async def serve_requests(reader, writer, answer, peer):
-    """Serves one connection; resets it when the answer is None."""
-    parser = messages.RequestReader(65536, 1 << 20)
-    while True:
-        while not parser.ready:
-            data = await reader.read(65536)
-            if not data or parser.error_status:
-                return
-            parser.feed(data)
-        payload = await answer(parser.ready.popleft(), peer)
-        if payload is None:
-            writer.transport.abort()
-            return
-        writer.write(payload.removesuffix(CLOSE_MARKER))
-        await writer.drain()
-        if payload.endswith(CLOSE_MARKER):
-            return
-
-
-def encode(status, body=b'', fields=None):
-    lines = ''.join(f'{n}: {v}\r\n' for n, v in (fields or {}).items())
-    head = f'HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n'
-    return head.encode() + body
-
-
 def make_table(version, shards=('a', 'b', 'c'), plain='a', extra=()):
     """Returns a configuration: /q/ scattered, /p/ plain, /n/ not idempotent."""
     common = {
--- /dev/null
+++ b/tests/adapter/ledgers.py
@@ -0,0 +1,242 @@
+"""What callers and servers observed, and the bounds on attempts.
+
+The checks judge the program from outside, by what was sent and what arrived,
+and return one line for each breach:
+
+- `check_runs`: servers that one request ran on, for each shard;
+- `check_deadlines`: time handed on to servers;
+- `check_crashing`: requests that crash the servers that run them;
+- `check_extra`: arrivals beyond the first of each request at each service, in
+  any window, rejected ones included. The first arrival at each shard is not
+  extra.
+"""
+
+import collections
+from typing import NamedTuple
+
+EXCUSED_REQUESTS = 3  # that ran too often, or reached servers too late
+DEADLINE_TOLERANCE_S = 0.5
+EXCUSED_DEADLINES = 20
+EXCUSED_DEADLINE_SHARE = 0.2
+STABLE_WINDOW_S = 4.0  # after the third crash
+
+
+class ExecutedRequest(NamedTuple):
+    """One request that a server started to execute."""
+
+    request_id: str
+    server_id: str
+    service: str
+    target: str
+    body: bytes
+
+
+class Crash(NamedTuple):
+    """A server's crash under a request; seconds of the event loop's clock."""
+
+    at: float
+    server_id: str
+    request_id: str
+    target: str
+
+
+class SentRequest(NamedTuple):
+    """One request that a caller sent.
+
+    Attributes:
+        at: Seconds of the event loop's clock.
+        request_id: Its id.
+        target: Path and query.
+        services: Services of its route.
+        deadline_s: How long the caller waits.
+        node: Index of the node that it was sent to.
+    """
+
+    at: float
+    request_id: str
+    target: str
+    services: tuple[str, ...]
+    deadline_s: float
+    node: int
+
+
+class Arrival(NamedTuple):
+    """One request at a server, whether it was executed or rejected.
+
+    Attributes:
+        at: Seconds of the event loop's clock.
+        request_id: Its id.
+        service: Service of the server.
+        server_id: The server.
+        incarnation: The server's `born`.
+        deadline_s: Time that the server was given, or None.
+        executed: Whether the server began to execute it.
+        node_host: Host of the node that sent it.
+    """
+
+    at: float
+    request_id: str
+    service: str
+    server_id: str
+    incarnation: int
+    deadline_s: float | None
+    executed: bool
+    node_host: str
+
+
+class Bounds(NamedTuple):
+    """The operators' bounds on attempts."""
+
+    max_attempts: int = 2
+    extra_ratio: float = 0.2
+    extra_slack: float = 54.0
+    extra_window_s: float = 10.0
+
+
+class Ledger:
+    """Everything that callers sent and servers received.
+
+    Attributes:
+        sent: Requests of callers.
+        arrivals: Requests at servers.
+        executed: Requests that servers started to execute.
+        crashes: Crashes of servers under a request.
+        ended: Servers that ended or were cut off, with the time.
+    """
+
+    def __init__(self, bounds=None):
+        self.bounds = bounds or Bounds()
+        self.sent = []
+        self.arrivals = []
+        self.executed = []
+        self.crashes = []
+        self.ended = collections.defaultdict(list)
+
+    def check_runs(self):
+        """Checks on how many servers each request ran, for each shard."""
+        runs = collections.defaultdict(dict)
+        for arrival in self.arrivals:
+            if arrival.executed and not self._ended_since(arrival):
+                runs[arrival.request_id, arrival.service].setdefault(
+                    arrival.server_id, arrival.at
+                )
+        excessive = {
+            request_id: f'{request_id} ran on {len(servers)} servers of '
+            f'{service}, {self.bounds.max_attempts} are allowed'
+            for (request_id, service), servers in runs.items()
+            if len(servers) > self.bounds.max_attempts
+        }
+        if len(excessive) <= EXCUSED_REQUESTS:
+            return []
+        return list(excessive.values())
+
+    def check_deadlines(self):
+        """Checks the time that servers were given."""
+        sent = {request.request_id: request for request in self.sent}
+        first_ends = {}
+        passed_on = excessive = 0
+        for arrival in self.arrivals:
+            request = sent.get(arrival.request_id)
+            if request is None:
+                continue
+            passed_on += 1
+            key = (arrival.request_id, arrival.service)
+            given_s = arrival.deadline_s
+            if given_s is None:
+                excessive += 1
+                continue
+            ends_at = arrival.at + given_s
+            first_at, first_end = first_ends.setdefault(
+                key, (arrival.at, ends_at)
+            )
+            latest = max(first_end, request.at + request.deadline_s)
+            is_late_repeat = arrival.at - first_at > DEADLINE_TOLERANCE_S
+            excessive += (
+                given_s - request.deadline_s > DEADLINE_TOLERANCE_S
+                or (is_late_repeat and ends_at - latest > DEADLINE_TOLERANCE_S)
+            )
+        if excessive <= max(
+            EXCUSED_DEADLINES, EXCUSED_DEADLINE_SHARE * passed_on
+        ):
+            return []
+        return [f'{excessive} of {passed_on} arrivals had too late a deadline']
+
+    def list_late_retries(self, target, is_in_touch=lambda crash: True):
+        """Lists the ids that crashed servers after the window.
+
+        Args:
+            target: Target of the request that crashes servers.
+            is_in_touch: Returns whether the node that sent the request on was
+                undisturbed.
+        """
+        crashes = [each for each in self.crashes if each.target == target]
+        if len(crashes) < 3:
+            return []
+        late_at = crashes[2].at + STABLE_WINDOW_S
+        return sorted(
+            {
+                crash.request_id
+                for crash in crashes
+                if crash.at > late_at and is_in_touch(crash)
+            }
+        )
+
+    def check_crashing(self, target, is_in_touch=lambda crash: True):
+        """Checks that a request that crashes servers is not sent on and on."""
+        late = self.list_late_retries(target, is_in_touch)
+        if len(late) <= EXCUSED_REQUESTS:
+            return []
+        return [
+            f'{target} reached servers {len(late)} times more, as '
+            f'{", ".join(late)}'
+        ]
+
+    def check_extra(self):
+        """Checks the extra arrivals at each service in any window."""
+        breaches = []
+        for service in sorted({each.service for each in self.arrivals}):
+            share, at, extra, allowed = self.find_worst_window(service)
+            if share > 1.0:
+                breaches.append(
+                    f'service {service} got {extra} extra arrivals in the '
+                    f'window until {at:.1f}, {allowed:.1f} are allowed'
+                )
+        return breaches
+
+    def find_worst_window(self, service):
+        """Returns the window with the most extra arrivals for its bound.
+
+        Returns:
+            Extra arrivals as a share of the bound, the end of the window, the
+            extra arrivals and the bound.
+        """
+        bounds = self.bounds
+        window_s = bounds.extra_window_s
+        requested = sorted(
+            each.at for each in self.sent if service in each.services
+        )
+        seen = set()
+        extras = []
+        for arrival in sorted(self.arrivals):
+            if arrival.service != service:
+                continue
+            if arrival.request_id in seen:
+                extras.append(arrival.at)
+            seen.add(arrival.request_id)
+        worst = (0.0, 0.0, 0, 0.0)
+        for index, end in enumerate(extras):
+            begin = end - window_s
+            count = sum(at > begin for at in extras[: index + 1])
+            most = max(
+                sum(begin - shift < at <= end - shift for at in requested)
+                for shift in (0.0, window_s / 2, window_s)
+            )
+            allowed = bounds.extra_ratio * most + bounds.extra_slack
+            worst = max(worst, (count / allowed, end, count, allowed))
+        return worst
+
+    def _ended_since(self, arrival):
+        """Returns whether a server ended after a request arrived at it."""
+        return any(
+            at >= arrival.at for at in self.ended.get(arrival.server_id, ())
+        )
--- a/tests/adapter/sabotage.py
+++ b/tests/adapter/sabotage.py
@@ -11,6 +11,7 @@
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import exchanges
 from balsamshore_core.forwarding import quarantine
+from balsamshore_core.forwarding import retrybudgets
 from balsamshore_node.forwarding import host
 from balsamshore_platform import core
 from balsamshore_platform import headers
@@ -20,9 +21,9 @@
     """Retries every request, even if it is not idempotent."""
     start = exchanges.Exchanges.start
 
-    def start_as_idempotent(self, exchange_id, route, deadline_s, now):
+    def start_as_idempotent(self, exchange_id, route, *arguments):
         route = route._replace(idempotent=True, max_attempts=3)
-        return start(self, exchange_id, route, deadline_s, now)
+        return start(self, exchange_id, route, *arguments)
 
     exchanges.Exchanges.start = start_as_idempotent
 
@@ -70,7 +71,37 @@
     quarantine.Quarantine.apply_notices = lambda *arguments: []
 
 
+def allow_any_number_of_attempts():
+    """Retries each request on as many servers as there are."""
+    allow_any_extra_attempts()
+    start = exchanges.Exchanges.start
+
+    def start_without_bound(self, exchange_id, route, *arguments):
+        route = route._replace(max_attempts=route.max_attempts + 10)
+        return start(self, exchange_id, route, *arguments)
+
+    exchanges.Exchanges.start = start_without_bound
+
+
+def allow_any_extra_attempts():
+    """Does not bound the retries and hedges of a service."""
+    retrybudgets.RetryBudget.count_left = lambda *arguments: 1e9
+
+
+def extend_deadlines():
+    """Gives servers more time than the caller waits."""
+    encode_attempt = headers.Headers.encode_attempt
+
+    def encode_longer(self, request, entry, deadline_s):
+        return encode_attempt(self, request, entry, deadline_s + 5.0)
+
+    headers.Headers.encode_attempt = encode_longer
+
+
 FAULTS = {
+    'attempts': allow_any_number_of_attempts,
+    'deadlines': extend_deadlines,
+    'extra': allow_any_extra_attempts,
     'forget': forget_crashes,
     'repeat': retry_every_request,
     'refuse': refuse_failed_requests,
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -26,6 +26,7 @@
 import tempfile
 
 from adapter import emulator
+from adapter import ledgers
 from adapter import sabotage
 
 from balsamshore_node.forwarding import messages
@@ -38,11 +39,10 @@
 STORE_MODES = ('ok', 'ok', 'busy', 'reset', 'silent')
 MEAN_FAULT_PAUSE_S = 0.5  # the pause between two faults is random
 RECOVERY_S = 8.0
+DEADLINE_MS = 2000  # of each caller
 REFUSAL_STATUSES = (429, 503)
 CRASHING_TARGETS = ('/p/crash', '/q/crash')
 CRASH_REPEAT_S = 0.3
-STABLE_WINDOW_S = 4.0  # after a signal to a node or the third crash
-MAX_LATE_RETRIES = 3  # of one crashing request, after the window
 
 
 class Caller:
@@ -79,9 +79,12 @@
         request_id = f'{self.name}-{self.count}'
         target = ('/q/x', '/p/x', '/n/x')[self.count % 3]
         method = 'POST' if target == '/n/x' else 'GET'
+        self.soak.platform.record_sent(
+            request_id, target, DEADLINE_MS / 1000, self.index
+        )
         writer.write(
             f'{method} {target} HTTP/1.1\r\nHost: {emulator.HOST}\r\n'
-            f'Request-Id: {request_id}\r\nDeadline-Ms: 2000\r\n'
+            f'Request-Id: {request_id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n'
             'Content-Length: 0\r\n\r\n'.encode()
         )
         reply = messages.ReplyReader()
@@ -101,56 +104,23 @@
     def __init__(self, soak):
         self.soak = soak
         self.rng = random.Random(soak.rng.random())
-        self.sent = {}
 
     async def run(self):
         platform = self.soak.platform
         platform.crashing_targets.update(CRASHING_TARGETS)
-        loop = asyncio.get_running_loop()
         while not self.soak.ended:
             index = self.rng.randint(1, NODES)
             target = self.rng.choice(CRASHING_TARGETS)
-            sent_at = loop.time()
             try:
                 response = await asyncio.wait_for(
                     platform.send_request(index, target), 4.0
                 )
+                if response.status in REFUSAL_STATUSES:
+                    self.soak.refused.add(response.request_id)
             except (OSError, TimeoutError, messages.MessageError):
-                await asyncio.sleep(CRASH_REPEAT_S)
-                continue
-            self.sent[response.request_id] = (target, index, sent_at)
-            if response.status in REFUSAL_STATUSES:
-                self.soak.refused.add(response.request_id)
+                pass
             await asyncio.sleep(CRASH_REPEAT_S)
 
-    def list_late_retries(self, target):
-        """Lists the ids that nodes in touch sent on after the window."""
-        crashes = [
-            crash
-            for crash in self.soak.platform.crashes
-            if crash.target == target
-        ]
-        if len(crashes) < 3:
-            return []
-        late_at = crashes[2].at + STABLE_WINDOW_S
-        return sorted(
-            {
-                crash.request_id
-                for crash in crashes
-                if crash.at > late_at and self._is_in_touch(crash)
-            }
-        )
-
-    def _is_in_touch(self, crash):
-        if crash.request_id not in self.sent:
-            return False
-        _, index, sent_at = self.sent[crash.request_id]
-        return all(
-            not sent_at - STABLE_WINDOW_S <= at <= crash.at
-            for signalled, at in self.soak.signals
-            if signalled == index
-        )
-
 
 class Soak:
     """One run of the soak test.
@@ -198,14 +168,13 @@
                 for index in range(1, NODES + 1)
                 for number in range(2)
             ]
-            crasher = Crasher(self)
-            callers.append(asyncio.create_task(crasher.run()))
+            callers.append(asyncio.create_task(Crasher(self).run()))
             await self.inject_faults(seconds)
             await self.recover()
             self.ended = True
             await asyncio.wait(callers, timeout=5.0)
             self.check_ledger()
-            self.check_crashes(crasher)
+            self.check_bounds()
         finally:
             proxy_task.cancel()
             for name in tuple(platform.processes):
@@ -326,15 +295,29 @@
         if not self.answers:
             self.violations.append('no caller received an answer')
 
-    def check_crashes(self, crasher):
-        """Checks that crashing requests are not sent on and on."""
+    def check_bounds(self):
+        """Checks the bounds on attempts, rule BUDGET of the operators."""
+        ledger = self.platform.ledger
+        self.violations += [
+            *ledger.check_runs(),
+            *ledger.check_deadlines(),
+            *ledger.check_extra(),
+        ]
         for target in CRASHING_TARGETS:
-            late = crasher.list_late_retries(target)
-            if len(late) > MAX_LATE_RETRIES:
-                self.violations.append(
-                    f'{target} reached servers {len(late)} times more, as '
-                    f'{", ".join(late)}'
-                )
+            self.violations += ledger.check_crashing(target, self.is_in_touch)
+
+    def is_in_touch(self, crash):
+        """Returns whether the sender of a request was undisturbed."""
+        sent = next(
+            request
+            for request in self.platform.ledger.sent
+            if request.request_id == crash.request_id
+        )
+        return all(
+            not sent.at - ledgers.STABLE_WINDOW_S <= at <= crash.at
+            for signalled, at in self.signals
+            if signalled == sent.node
+        )
 
 
 def run_seed(seed, seconds, fault=''):
--- a/tests/adapter/test_program.py
+++ b/tests/adapter/test_program.py
@@ -20,9 +20,10 @@
 
 
 @contextlib.asynccontextmanager
-async def start_platform(tmp_path, nodes=2, network='127.77'):
+async def start_platform(tmp_path, nodes=2, network='127.77', program=None):
     """Starts the platform with nodes and three shards of two servers each."""
     platform = emulator.Emulator(tmp_path, network)
+    platform.program = program or platform.program
     await platform.start()
     try:
         for number, service in enumerate('abc'):
--- a/tests/adapter/test_quarantine.py
+++ b/tests/adapter/test_quarantine.py
@@ -9,8 +9,6 @@
 pytestmark = pytest.mark.anyio
 
 NODES = 3
-MAX_LATE_RETRIES = 3  # of the operators' rules
-STABLE_WINDOW_S = 4.0  # after the third crash, the retries are counted
 
 
 @pytest.fixture
@@ -30,16 +28,6 @@
     return responses
 
 
-def list_late_retries(platform):
-    """Lists the ids that reached a server after the window."""
-    third = platform.crashes[2].at
-    return {
-        crash.request_id
-        for crash in platform.crashes
-        if crash.at > third + STABLE_WINDOW_S
-    }
-
-
 @pytest.mark.parametrize('target', ['/p/crash', '/q/crash'])
 async def test_a_request_that_crashed_three_servers_is_not_sent_on(
     tmp_path, target
@@ -48,7 +36,20 @@
         platform.crashing_targets.add(target)
         await repeat(platform, target, 10.0)
         assert len(platform.crashes) >= 3
-        assert len(list_late_retries(platform)) <= MAX_LATE_RETRIES
+        assert not platform.ledger.check_crashing(target)
+
+
+@pytest.mark.parametrize('target', ['/p/crash', '/q/crash'])
+@pytest.mark.parametrize('manner', ['truncated', 'supervised', 'silent'])
+async def test_a_request_is_stopped_however_its_servers_crash(
+    tmp_path, target, manner
+):
+    async with test_program.start_platform(tmp_path, NODES) as platform:
+        platform.crash_manner = manner
+        platform.crashing_targets.add(target)
+        await repeat(platform, target, 10.0)
+        assert len(platform.crashes) >= 3
+        assert not platform.ledger.check_crashing(target)
 
 
 async def test_innocent_requests_are_served_beside_a_crashing_one(tmp_path):
--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -24,7 +24,7 @@
 
 def test_a_second_execution_is_detected(tmp_path):
     soak_run = make_soak(tmp_path)
-    run = soak.emulator.ExecutedRequest('r1', 'a0', 'a', '/n/x', b'')
+    run = soak.ledgers.ExecutedRequest('r1', 'a0', 'a', '/n/x', b'')
     soak_run.platform.executed += [run, run]
     soak_run.check_ledger()
     assert soak_run.violations == ['r1 was executed 2 times']
@@ -33,7 +33,7 @@
 def test_a_refusal_of_an_executed_request_is_detected(tmp_path):
     soak_run = make_soak(tmp_path)
     soak_run.platform.executed.append(
-        soak.emulator.ExecutedRequest('r1', 'a0', 'a', '/p/x', b'')
+        soak.ledgers.ExecutedRequest('r1', 'a0', 'a', '/p/x', b'')
     )
     soak_run.refused.add('r1')
     soak_run.check_ledger()
