Divide the slack of retry budgets so that all shares add up to the whole

Cause: the slack was divided by the nodes that count as senders (chosen by placement, or more than 2 requests a second) and used by every node. Others of the class: silent nodes were forgotten after 30 s, so both sides of a partition used the whole; a process that was killed twice within a window spent a fifth of its share each time. Change: core.forwarding.senders.

--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -197,6 +197,8 @@
             routes that are no longer configured.
         senders: Number of nodes that may send to backend servers; set by the
             host from `fleet`.
+        slack_share: This node's share of the slack of retry budgets; set by
+            the host from `fleet`.
         exchanges: Requests in progress.
         slowness_reports: Slowness, by id, of the servers found slow since
             the last report to other nodes; `exchanges` adds entries and the
@@ -219,6 +221,7 @@
         default_factory=routes.Splitter
     )
     senders: int = 1
+    slack_share: float = 0.5
     exchanges: ExchangeSection = dataclasses.field(
         default_factory=ExchangeSection
     )
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -488,9 +488,9 @@
         limit, used = _find_limit(part, now)
         if not limit and reached_server:
             budget = self._get_retry_budget(part.service)
-            if not budget.spend_retry(now, self._board.senders):
+            if not budget.spend_retry(now, self._board.slack_share):
                 limit = 'retry_denied'
-                used = budget.describe(now, self._board.senders)
+                used = budget.describe(now, self._board.slack_share)
         if not limit:
             self._dispatch_part(part, 'retry', now, output)
             return
@@ -533,15 +533,15 @@
             self._timers.start(hedge_at, 'hedge', attempt_id)
             return
         budget = self._get_retry_budget(part.service)
-        if not budget.allows_hedge(now, self._board.senders):
+        if not budget.allows_hedge(now, self._board.slack_share):
             self._board.counters['hedge_denied'] += 1
-            spent = budget.describe(now, self._board.senders)
+            spent = budget.describe(now, self._board.slack_share)
             part.exchange.record_step(
                 now, 'hedge_denied', part.service, '', spent
             )
             return
         if self._dispatch_part(part, 'hedge', now, output):
-            budget.spend(now, self._board.senders)
+            budget.spend(now, self._board.slack_share)
 
     def _handle_objective_timer(
         self, exchange_id: int, now: float, output: boards.Actions
--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -13,7 +13,7 @@
 import random
 from typing import NamedTuple
 
-from balsamshore_core.forwarding import placement
+from balsamshore_core.forwarding import senders
 
 HEARTBEAT_INTERVAL_S = 0.5
 FANOUT = 2  # nodes in the same failure domain contacted per interval
@@ -30,9 +30,6 @@
 ACTIVE_LIVENESS_TIMEOUT_S = 1.3
 MEMBER_EXPIRY_S = 30.0
 SEED_PROBE_EVERY = 5  # intervals between messages to silent seeds
-INITIAL_SENDERS = 10  # assumed until a new process knows the other nodes
-STARTUP_S = 4.0  # covers discovery and the load that the start causes
-PEAK_RETENTION_S = 30.0  # how long the number of senders may not decrease
 RANDOM_MESSAGES = 2  # of `tick`, the first ones; their recipients are random
 MAX_TICK_GAP_S = 1.0  # after a longer pause, silence does not count as failure
 
@@ -166,18 +163,19 @@
         self.members: dict[str, Member] = {}
         self._by_key: dict[int, Member] = {}
         self._seeds = tuple(seed for seed in seeds if seed != own_record.host)
+        self._unheard_seeds = set(self._seeds)
         self._rng = rng
         self._ticks = 0
         self._last_tick: float | None = None
-        self._sender_peak = INITIAL_SENDERS
-        self._peak_until: float | None = None
-        self._startup_ends_at = 0.0
+        self._senders = senders.Senders(own_record.name)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replaces the seeds after the settings changed."""
         self._seeds = tuple(
             seed for seed in seeds if seed != self.own_record.host
         )
+        known = {member.record.host for member in self.members.values()}
+        self._unheard_seeds = set(self._seeds) - known
 
     def tick(self, now: float) -> list[GossipMessage]:
         """Increments the heartbeat and returns the messages to send."""
@@ -192,7 +190,7 @@
             if now - member.last_heartbeat_at > MEMBER_EXPIRY_S:
                 del self.members[name]
                 self._by_key.pop(member.key, None)
-        self._update_sender_peak(now)
+        self._update_senders(now)
         local_hosts, remote_hosts = self._split_by_domain(now)
         local_recipients = self._rng.sample(
             local_hosts, min(FANOUT, len(local_hosts))
@@ -294,6 +292,7 @@
         """
         output: list[GossipMessage] = []
         for record in records:
+            self._unheard_seeds.discard(record.host)
             if record.name == self.own_record.name:
                 self._supersede(record)
                 continue
@@ -425,16 +424,14 @@
         return [self.own_record, *found]
 
     def count_senders(self, now: float) -> int:
-        """Returns how many nodes send significant load to servers.
+        """Returns how many nodes send significant load; see `senders`."""
+        self._update_senders(now)
+        return self._senders.count()
 
-        A view that shrinks, as in a partition, keeps its former number for a
-        while, because the other nodes may still be sending. A new process
-        assumes INITIAL_SENDERS at first: after a loss of power all nodes
-        start at once, and each would otherwise use all connections of a
-        server.
-        """
-        self._update_sender_peak(now)
-        return self._sender_peak
+    def find_slack_share(self, now: float) -> float:
+        """Returns this node's share of the slack of retry budgets."""
+        self._update_senders(now)
+        return self._senders.find_share(now)
 
     def find_reader_rank(self, now: float) -> int:
         """Returns how many nodes precede this one as store readers.
@@ -486,19 +483,12 @@
             for member in self.members.values():
                 member.last_heartbeat_at += gap_s
 
-    def _update_sender_peak(self, now: float) -> None:
-        if self._peak_until is None:
-            self._peak_until = now + STARTUP_S
-            self._startup_ends_at = now + STARTUP_S
-        if now < self._startup_ends_at:
-            return
-        records = [self.own_record, *self.list_alive(now)]
-        senders = {record.name for record in placement.choose_active(records)}
-        senders.update(record.name for record in records if record.active)
-        count = max(1, len(senders))
-        if count >= self._sender_peak or now >= self._peak_until:
-            self._sender_peak = count
-            self._peak_until = now + PEAK_RETENTION_S
+    def _update_senders(self, now: float) -> None:
+        self._senders.update(
+            [self.own_record, *self.list_alive(now)],
+            len(self._unheard_seeds),
+            now,
+        )
 
     def _pick_records(self, now: float) -> tuple[NodeRecord, ...]:
         """Picks records for a new node, those of this domain first."""
--- a/packages/core/balsamshore_core/forwarding/retrybudgets.py
+++ b/packages/core/balsamshore_core/forwarding/retrybudgets.py
@@ -1,10 +1,10 @@
 """Retry budgets that bound extra attempts of a fleet without shared state.
 
 A service may get `ratio` x requests + `slack` extra attempts in any window.
-Each node spends at most what its own first attempts earn and an equal share
-of the slack, so all nodes together stay within the bound. A process that is
-killed loses the record of what it spent, possibly all of it at once, so its
-successor leaves most of the budget unused for one window.
+Each node spends at most what its own first attempts earn and its share of the
+slack (see `senders`), so all nodes together stay within the bound. A process
+that is killed loses the record of what it spent, possibly all of it at once, so
+its successor leaves most of what it earns unused for one window.
 
 Retries take precedence over hedges: without a retry a refused part is lost,
 while a late part may still be answered.
@@ -14,13 +14,11 @@
 
 SLOTS_PER_WINDOW = 10  # granularity of the sliding window
 SAFETY_FACTOR = 0.8  # share of the bound that is used
-# In its first window, a process uses only these shares of what it earns and
-# of its slack: the rest covers what a killed predecessor may have spent.
+# In its first window, a process uses only this share of what it earns: the rest
+# covers what a killed predecessor may have spent.
 STARTUP_RATIO = 0.3
-STARTUP_SLACK = 0.2
 STARTUP_MINIMUM = 1.0  # allows a retry of the first request
 RETRY_FORECAST_SLOTS = 1  # slots before the present one that predict retries
-MIN_SENDERS = 2  # a node that sees no other never uses the whole slack
 
 
 class Limits:
@@ -67,62 +65,60 @@
         self._firsts_sum += 1
         self._add(self._firsts, now)
 
-    def spend_retry(self, now: float, senders: int) -> bool:
+    def spend_retry(self, now: float, share: float) -> bool:
         """Spends one extra attempt on a retry; records that it was requested.
 
         Args:
             now: Monotonic seconds.
-            senders: Nodes that may be sending to the service.
+            share: This node's share of the slack, 0 to 1.
         """
         self._expire(self._requested_retries, now, RETRY_FORECAST_SLOTS)
         self._add(self._requested_retries, now)
-        return self.spend(now, senders)
+        return self.spend(now, share)
 
-    def allows_hedge(self, now: float, senders: int) -> bool:
+    def allows_hedge(self, now: float, share: float) -> bool:
         """Returns whether a hedge leaves enough budget for expected retries.
 
         As many retries are expected as were requested recently.
 
         Args:
             now: Monotonic seconds.
-            senders: Nodes that may be sending to the service.
+            share: This node's share of the slack, 0 to 1.
         """
         self._expire(self._requested_retries, now, RETRY_FORECAST_SLOTS)
         expected = sum(count for _, count in self._requested_retries)
-        return self.count_left(now, senders) >= 1.0 + expected
+        return self.count_left(now, share) >= 1.0 + expected
 
-    def spend(self, now: float, senders: int) -> bool:
+    def spend(self, now: float, share: float) -> bool:
         """Spends one extra attempt, or returns False when none is left.
 
         Args:
             now: Monotonic seconds.
-            senders: Nodes that may be sending to the service.
+            share: This node's share of the slack, 0 to 1.
         """
-        if self.count_left(now, senders) < 1.0:
+        if self.count_left(now, share) < 1.0:
             return False
         self._extras_sum += 1
         self._add(self._extras, now)
         return True
 
-    def describe(self, now: float, senders: int) -> str:
+    def describe(self, now: float, share: float) -> str:
         """Returns what is spent and allowed, for the log."""
-        left = self.count_left(now, senders)
+        left = self.count_left(now, share)
         spent = self._extras_sum
-        return f'{spent} of {spent + left:.1f} spent, {senders} senders'
+        return f'{spent} of {spent + left:.1f} spent, share {share:.3f}'
 
-    def count_left(self, now: float, senders: int) -> float:
+    def count_left(self, now: float, share: float) -> float:
         """Returns how many extra attempts may still be sent."""
         limits = self._limits
         self._firsts_sum -= self._expire(self._firsts, now, SLOTS_PER_WINDOW)
         self._extras_sum -= self._expire(self._extras, now, SLOTS_PER_WINDOW)
         earned = limits.ratio * self._firsts_sum
-        slack = limits.slack / max(senders, MIN_SENDERS)
-        allowed = SAFETY_FACTOR * (earned + slack)
         if now < self._startup_until:
-            startup = SAFETY_FACTOR * (
-                STARTUP_RATIO * earned + STARTUP_SLACK * slack
-            )
-            allowed = min(allowed, max(startup, STARTUP_MINIMUM))
+            earned *= STARTUP_RATIO
+        allowed = SAFETY_FACTOR * (earned + limits.slack * share)
+        if now < self._startup_until:
+            allowed = max(allowed, STARTUP_MINIMUM)
         return allowed - self._extras_sum
 
     def _add(self, counts: collections.deque, now: float) -> None:
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -617,6 +617,7 @@
                 alive=len(self.fleet.list_alive(now)) + 1,
             ).info('number of nodes that share the limits of servers')
         self.board.senders = senders
+        self.board.slack_share = self.fleet.find_slack_share(now)
 
     def _log_reader_change(self, rank: int, peer_checked_age_s: float) -> None:
         reads_store = self.follower.state != 'idle'
@@ -742,6 +743,7 @@
             'connections_idle': idle,
             'members_alive': len(self.fleet.list_alive(now)) + 1,
             'senders': self.board.senders,
+            'slack_share': self.board.slack_share,
             'requests_suspected': suspected,
             'requests_stopped': stopped,
             'log_lines_dropped': self._log.dropped,
--- a/tests/forwarding/clusters.py
+++ b/tests/forwarding/clusters.py
@@ -39,6 +39,7 @@
             node.board.failure_domain = 'abc'[number % 3]
             node.crash_server = self.crash
             node.board.senders = nodes
+            node.board.slack_share = 1.0 / nodes
         for server in self.servers.values():
             server.crashing = self.crashing
         self.name_nodes()
@@ -120,6 +121,7 @@
         new.board.failure_domain = old.board.failure_domain
         new.crash_server = self.crash
         new.board.senders = len(self.nodes)
+        new.board.slack_share = 1.0 / len(self.nodes)
         for server in self.servers.values():
             new.board.registry.put(server.entry, new.now)
         self.nodes[number] = new
