Count a retry in the window in which it is sent

Cause: the retry budget was charged when a retry was decided; its part may wait for seconds. One that was never sent stayed charged. Change: a waiting retry keeps its charge, which moves to the moment of sending, and is refunded when the part fails, is answered or withdrawn before that.

--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -25,6 +25,8 @@
         not_before: When the next round may begin.
         tried: Ids of the servers tried in this round.
         live: Attempts whose replies are awaited.
+        retry_spent_at: When the retry budget was charged for a retry that has
+            not been sent yet, or None.
         held: Whether it waits, since its last attempt, for its turn as part of
             a suspect; see `isolation`.
     """
@@ -36,6 +38,7 @@
         'live',
         'not_before',
         'reply',
+        'retry_spent_at',
         'rounds',
         'runs',
         'sends',
@@ -57,6 +60,7 @@
         self.live: list[Attempt] = []
         self.waiting = False
         self.held = False
+        self.retry_spent_at: float | None = None
 
     def is_open(self) -> bool:
         """Returns whether the part has no result yet."""
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -202,6 +202,7 @@
             part.live.clear()
             if part.is_open():
                 part.failure = 'withdrawn'
+                self._refund_retry(part)
         parts = exchange.parts
         _release_parts(exchange)
         for part in parts:
@@ -360,6 +361,10 @@
         part.tried.append(server_id)
         part.sends += 1
         part.held = False
+        if part.retry_spent_at is not None:
+            budget = self._get_retry_budget(part.service)
+            budget.postpone(part.retry_spent_at, now)
+            part.retry_spent_at = None
         if kind != 'first':
             exchange.record_step(now, kind, part.service, server_id)
         self._board.counters[f'sent_{kind}'] += 1
@@ -491,6 +496,8 @@
             if not budget.spend_retry(now, self._board.slack_share):
                 limit = 'retry_denied'
                 used = budget.describe(now, self._board.slack_share)
+            else:
+                part.retry_spent_at = now
         if not limit:
             self._dispatch_part(part, 'retry', now, output)
             return
@@ -503,12 +510,19 @@
         if not part.is_open():
             return
         part.failure = reason
+        self._refund_retry(part)
         exchange = part.exchange
         exchange.open_parts -= 1
         exchange.record_step(now, 'part_failed', part.service, '', reason)
         if not exchange.open_parts or answers.is_floor_unreachable(exchange):
             self._finish(exchange, reason, now, output)
 
+    def _refund_retry(self, part: boards.Part) -> None:
+        """Takes back what an unsent retry of a part has spent."""
+        if part.retry_spent_at is not None:
+            self._get_retry_budget(part.service).refund(part.retry_spent_at)
+            part.retry_spent_at = None
+
     def _handle_hedge_timer(
         self, attempt_id: int, now: float, output: boards.Actions
     ) -> None:
@@ -580,6 +594,7 @@
         for part in exchange.parts:
             if part.is_open():
                 part.failure = reason or 'timeout'
+                self._refund_retry(part)
                 tried = ' '.join(part.tried)
                 exchange.record_step(now, 'missing', part.service, tried)
             self._abandon_attempts(part, now)
--- a/packages/core/balsamshore_core/forwarding/retrybudgets.py
+++ b/packages/core/balsamshore_core/forwarding/retrybudgets.py
@@ -102,6 +102,22 @@
         self._add(self._extras, now)
         return True
 
+    def postpone(self, spent_at: float, now: float) -> None:
+        """Counts a retry as sent now that was spent earlier and had to wait."""
+        if self._slot(spent_at) != self._slot(now):
+            self.refund(spent_at)
+            self._extras_sum += 1
+            self._add(self._extras, now)
+
+    def refund(self, spent_at: float) -> None:
+        """Takes back what was spent on a retry that was never sent."""
+        slot = self._slot(spent_at)
+        for counted in self._extras:
+            if counted[0] == slot and counted[1] > 0:
+                counted[1] -= 1
+                self._extras_sum -= 1
+                return
+
     def describe(self, now: float, share: float) -> str:
         """Returns what is spent and allowed, for the log."""
         left = self.count_left(now, share)
@@ -121,15 +137,18 @@
             allowed = max(allowed, STARTUP_MINIMUM)
         return allowed - self._extras_sum
 
+    def _slot(self, now: float) -> int:
+        return int(now * SLOTS_PER_WINDOW / self._limits.window_s)
+
     def _add(self, counts: collections.deque, now: float) -> None:
-        slot = int(now * SLOTS_PER_WINDOW / self._limits.window_s)
+        slot = self._slot(now)
         if counts and counts[-1][0] == slot:
             counts[-1][1] += 1
         else:
             counts.append([slot, 1])
 
     def _expire(self, counts: collections.deque, now: float, slots: int) -> int:
-        slot = int(now * SLOTS_PER_WINDOW / self._limits.window_s)
+        slot = self._slot(now)
         expired = 0
         while counts and counts[0][0] < slot - slots:
             expired += counts.popleft()[1]
--- a/tests/forwarding/test_exchanges.py
+++ b/tests/forwarding/test_exchanges.py
@@ -459,3 +459,50 @@
     }
     assert len(outputs) == 1
     assert len(outputs.pop()) > 1000
+
+
+def test_retries_that_wait_count_when_they_are_sent():
+    # Retries that wait for a connection were counted in the window in which
+    # they were decided, and arrived together with those of the next one.
+    limits = retrybudgets.Limits(0.0, 10.0, 10.0)
+    world = worlds.World(shards=1, replicas=2, limits=limits)
+    world.set_table(1, connections=3, timeout_s=30.0)
+    world.board.slack_share = 1.0
+    arrivals = []
+    deliver = world.deliver
+
+    def record(send):
+        arrivals.append((world.now, send.exchange_id))
+        deliver(send)
+
+    world.deliver = record
+    for full_s in (0.015, 1.0):
+        for server in world.servers.values():
+            server.mode = 'full'
+        for _ in range(30):
+            world.ask(world.plain, deadline_s=30.0)
+        world.run(full_s)
+        for server in world.servers.values():
+            server.mode, server.work_s = 'ok', 1.5
+        world.run(11.2 - full_s)
+    seen = set()
+    extras = []
+    for at, exchange_id in arrivals:
+        if exchange_id in seen:
+            extras.append(at)
+        seen.add(exchange_id)
+    assert len(extras) > 8
+    for end in extras:
+        assert sum(end - 10.0 < at <= end for at in extras) <= 10
+
+
+def test_a_retry_that_was_never_sent_does_not_count():
+    limits = retrybudgets.Limits(0.0, 2.6, 10.0)
+    world = worlds.World(shards=1, replicas=1, limits=limits)
+    world.board.slack_share = 1.0
+    world.servers['s0-0'].mode = 'full'
+    for _ in range(5):
+        first = world.ask(world.plain, deadline_s=0.03)
+        world.run(0.1)
+        steps = world.answers[first].answer.steps
+        assert 'retry_denied' not in {step.what for step in steps}
