Take a server that ends within its answer for a crashed one

What servers saw: a request under which each server ended after a part of its answer was out reached servers in 13 and 14 retries after the window (35 and 105 servers lost, real program, 20 repeats), 3 are allowed. Cause: only connections that ended before any byte of the answer led to the check whether the server had crashed. Change: a truncated answer leads to it as well. A live server that cuts its answers accepts the check's connection and is not counted.

--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -7,7 +7,7 @@
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import board as boards
 
-CRASH_CAUSES = frozenset(('reset', 'closed'))  # ends without any reply
+CRASH_CAUSES = frozenset(('reset', 'closed', 'truncated'))
 # A suspect is hedged late: a crash shows before its server could be just slow.
 SUSPECT_HEDGE_DELAYS = 3.0
 
--- a/tests/forwarding/clusters.py
+++ b/tests/forwarding/clusters.py
@@ -16,6 +16,7 @@
         nodes: One world for each node; all have the same servers.
         crashes: Time and server of each crash.
         down_s: How long a server is down after a crash.
+        loss_cause: How the connections of a crashed server end.
         keeps_incarnation: Whether a server returns with its former `born_ms`.
         cut: Nodes that no other node reaches.
     """
@@ -29,6 +30,7 @@
         self.crashing = set()
         self.crashes = []
         self.down_s = 2.0
+        self.loss_cause = 'closed'
         self.keeps_incarnation = False
         self.cut = set()
         self.rng = random.Random(seed)
@@ -97,7 +99,7 @@
                 node.at(
                     node.now,
                     lambda node=node, attempt=attempt: node.lose(
-                        attempt, True, 'closed'
+                        attempt, True, self.loss_cause
                     ),
                 )
         self._restarts.append((self.now + self.down_s, server_id))
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -47,6 +47,14 @@
     assert len(cluster.crashes) <= 10 + 2
 
 
+@pytest.mark.parametrize('route', ['plain', 'scattered'])
+def test_a_server_that_crashes_within_its_answer_has_crashed(route):
+    cluster = make_cluster(shards=3)
+    cluster.loss_cause = 'truncated'
+    repeat(cluster, 20.0, 0.25, route)
+    assert len(cluster.crashes) <= (3 if route == 'plain' else 3 + 2)
+
+
 def test_repeats_that_arrive_at_once_are_stopped_after_the_first_loss():
     cluster = make_cluster(nodes=3, replicas=12)
     for _ in range(5):
