Find out later that a server crashed under a request

What servers saw: a request under which each server ended reached servers in 6 to 32 retries after the window, 3 are allowed, when the server kept its listening socket, was back at once or fell silent (real program, 24 to 207 servers lost in 12 s). Cause: a crash counted only when a new connection was refused at that moment; what the store says of the server later was not used. Change: core.forwarding.evidence keeps runs without an answer for 15 s, until the server replies to anything. The end of its incarnation (newer born_ms, its address taken, 421, entry lapsed while the store is well) makes them crashes; attempts in flight on an incarnation that was replaced are lost at once and sent to another server.

--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -21,6 +21,7 @@
     'failed': 'a backend server answered with a failure',
     'truncated': 'a backend server broke off its answer',
     'quarantined': 'backend servers crashed under this request before',
+    'ended': 'a backend server ended before it answered',
     'unreachable': 'no backend server could be reached',
     'stopping': 'the node was shutting down and had no time left',
 }
@@ -40,6 +41,7 @@
     'protocol': 'got an invalid HTTP response',
     'crossed': 'got the answer to another request',
     'truncated': 'failed: the server broke off its answer',
+    'ended': 'failed: the server ended before it answered',
     'held': 'waited: a server was lost under this request',
     'alone': 'was sent alone: a server was lost under this request',
     'unreachable': 'could not be sent: the server was unreachable',
--- a/packages/core/balsamshore_core/forwarding/actions.py
+++ b/packages/core/balsamshore_core/forwarding/actions.py
@@ -53,6 +53,13 @@
     attempt_id: int
 
 
+class Drop(NamedTuple):
+    """Close the connection of an attempt and report the attempt as lost."""
+
+    attempt_id: int
+    cause: str
+
+
 class Check(NamedTuple):
     """Find out whether a server crashed, by a new connection to it."""
 
@@ -103,4 +110,4 @@
     steps: tuple[Step, ...] = ()
 
 
-Action = Send | Close | Check | Answer
+Action = Send | Close | Drop | Check | Answer
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -207,6 +207,8 @@
         slowness_reports: Slowness, by id, of the servers found slow since
             the last report to other nodes; `exchanges` adds entries and the
             host clears them when it sends the report.
+        ended_servers: Incarnations that ended since the last look; `catalog`
+            adds them and `exchanges` takes them.
         quarantine: Requests under which servers crashed; `exchanges` reports
             losses and answers, the host exchanges notices with other nodes.
         counters: Numbers of events by name; updated by `catalog`, `exchanges`
@@ -230,6 +232,9 @@
         default_factory=ExchangeSection
     )
     slowness_reports: dict[str, float] = dataclasses.field(default_factory=dict)
+    ended_servers: list[servers.EndedServer] = dataclasses.field(
+        default_factory=list
+    )
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -57,6 +57,7 @@
         self._removed_at: dict[str, float] = {}
         self._retained_until: dict[str, float] = {}
         self._entries: dict[str, servers.ServerEntry] = {}
+        self._keys_by_address: dict[str, str] = {}
         self._purged_revision = 0
         self.revision = 0
 
@@ -148,7 +149,9 @@
             if now - removed_at > TOMBSTONE_S:
                 del self._removed_at[key]
                 item = self._items.pop(key)
-                self._entries.pop(key, None)
+                entry = self._entries.pop(key, None)
+                if entry and self._keys_by_address.get(entry.address) == key:
+                    del self._keys_by_address[entry.address]
                 self._purged_revision = max(
                     self._purged_revision, item.revision
                 )
@@ -181,7 +184,13 @@
         ):
             self._board.counters['old_reports'] += 1
             return
+        if current is not None and decoded.born_ms > current.born_ms:
+            self._record_end(current, True)
+            changes.append(
+                f'{decoded.server_id} of {decoded.service} started again'
+            )
         self._entries[key] = decoded
+        self._take_address(item, decoded)
         self._board.registry.put(decoded, now)
         if current is None or current.draining != decoded.draining:
             state = 'draining' if decoded.draining else 'ready'
@@ -206,8 +215,25 @@
             self._retained_until[key] = now + RETENTION_S
             return
         self._retained_until.pop(key, None)
+        entry = self._entries.get(key)
+        if entry is not None and not entry.draining:
+            self._record_end(entry, False)
         self._unregister(key, changes)
 
+    def _take_address(self, item: Item, entry: servers.ServerEntry) -> None:
+        """Records the end of the server that had the address before."""
+        key = self._keys_by_address.get(entry.address, item.key)
+        former = self._entries.get(key)
+        if key != item.key and former is not None:
+            if self._items[key].revision > item.revision:
+                return
+            if former.address == entry.address:
+                self._record_end(former, True)
+        self._keys_by_address[entry.address] = item.key
+
+    def _record_end(self, entry: servers.ServerEntry, certain: bool) -> None:
+        self._board.ended_servers.append(servers.EndedServer(entry, certain))
+
     def _unregister(self, key: str, changes: list[str]) -> None:
         entry = self._entries.get(key)
         if entry is None:
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -101,6 +101,8 @@
         part = attempt.part
         server = attempt.server
         if reply.misdirected:
+            for fingerprint in self._isolation.record_end(server.entry, now):
+                self._release(fingerprint, now, output)
             self._board.registry.remove(server.entry.server_id)
             self._board.counters['misdirected'] += 1
         elif reply.refused:
@@ -111,9 +113,9 @@
             self._board.counters['failed_by_server'] += 1
         else:
             self._record_latency(attempt, now)
-            fingerprint = part.exchange.fingerprint
-            if self._board.quarantine.record_answer(fingerprint, now):
-                self._board.counters['suspects_cleared'] += 1
+            self._isolation.record_answer(part.exchange.fingerprint, now)
+        if not reply.misdirected:
+            self._isolation.record_reply(server.entry)
         if not attempt.abandoned:
             self._evaluate_reply(attempt, reply, now, output)
         self._continue_waiting(part, now, output)
@@ -175,6 +177,24 @@
             self._release(fingerprint, now, output)
         return output
 
+    def handle_ended_servers(self, now: float) -> boards.Actions:
+        """Drops the attempts on servers that have ended.
+
+        Their requests are suspects: the servers may have crashed under them.
+        """
+        output: boards.Actions = []
+        ended, self._board.ended_servers = self._board.ended_servers, []
+        for entry, certain in ended:
+            for fingerprint in self._isolation.record_end(entry, now):
+                self._release(fingerprint, now, output)
+            if certain:
+                output += [
+                    actions.Drop(attempt_id, 'ended')
+                    for attempt_id, attempt in self._state.attempts.items()
+                    if _is_same_incarnation(attempt.server.entry, entry)
+                ]
+        return output
+
     def apply_notices(
         self,
         notices: collections.abc.Iterable[quarantine.Notice],
@@ -198,6 +218,7 @@
             for attempt in tuple(part.live):
                 attempt.abandoned = True
                 if exchange.route.idempotent:
+                    self._isolation.record_unanswered(attempt, now)
                     self._close(attempt, now, output)
             part.live.clear()
             if part.is_open():
@@ -580,6 +601,7 @@
         self._record_latency(
             attempt, now, now - attempt.sent_at > MAX_SERVER_PAUSE_S
         )
+        self._isolation.record_unanswered(attempt, now)
         self._close(attempt, now, output)
         self._continue_waiting(attempt.part, now, output)
 
@@ -693,6 +715,12 @@
     return '', ''
 
 
+def _is_same_incarnation(
+    entry: servers.ServerEntry, other: servers.ServerEntry
+) -> bool:
+    return (entry.server_id, entry.born_ms) == (other.server_id, other.born_ms)
+
+
 def _release_parts(exchange: boards.Exchange) -> None:
     """Releases bodies and the reference cycle of exchange and parts.
 
--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -6,8 +6,11 @@
 
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import board as boards
+from balsamshore_core.forwarding import evidence
+from balsamshore_core.forwarding import quarantine as quarantines
+from balsamshore_core.forwarding import servers
 
-CRASH_CAUSES = frozenset(('reset', 'closed', 'truncated'))
+CRASH_CAUSES = frozenset(('reset', 'closed', 'truncated', 'ended'))
 # A suspect is hedged late: a crash shows before its server could be just slow.
 SUSPECT_HEDGE_DELAYS = 3.0
 
@@ -18,6 +21,7 @@
     def __init__(self, board: boards.Board):
         self._board = board
         self._held: dict[str, list[boards.Part]] = {}
+        self._evidence = evidence.Evidence()
 
     def is_stopped(self, exchange: boards.Exchange, now: float) -> bool:
         """Returns whether a request is quarantined; notes until when."""
@@ -68,6 +72,8 @@
             return None
         if not exchange.fingerprint:
             return None
+        if self.record_unanswered(attempt, now):
+            return None
         must_check = self._board.quarantine.record_loss(
             exchange.fingerprint,
             entry.server_id,
@@ -80,6 +86,45 @@
         self._board.counters['crash_checks'] += 1
         return actions.Check(entry)
 
+    def record_unanswered(self, attempt: boards.Attempt, now: float) -> bool:
+        """Records an attempt that ended without an answer.
+
+        Returns:
+            Whether its server is known to have ended, so that it crashed.
+        """
+        exchange = attempt.part.exchange
+        if exchange.covered or exchange.last_reply or not exchange.fingerprint:
+            return False
+        entry = attempt.server.entry
+        run = evidence.Run(attempt.alone, now)
+        ended = self._evidence.add(
+            (entry.server_id, entry.born_ms), exchange.fingerprint, run
+        )
+        if ended:
+            self._record_crash(exchange.fingerprint, entry, run, now)
+        return ended
+
+    def record_end(self, entry: servers.ServerEntry, now: float) -> list[str]:
+        """Records that an incarnation of a server has ended.
+
+        Returns:
+            The requests that had no answer from it.
+        """
+        runs = self._evidence.end((entry.server_id, entry.born_ms), now)
+        for fingerprint, run in runs.items():
+            self._record_crash(fingerprint, entry, run, now)
+        return list(runs)
+
+    def record_reply(self, entry: servers.ServerEntry) -> None:
+        """Records that a server is alive."""
+        self._evidence.clear_server((entry.server_id, entry.born_ms))
+
+    def record_answer(self, fingerprint: str, now: float) -> None:
+        """Records that a server answered a request."""
+        self._evidence.clear_request(fingerprint)
+        if self._board.quarantine.record_answer(fingerprint, now):
+            self._board.counters['suspects_cleared'] += 1
+
     def find_hedge_time(
         self, attempt: boards.Attempt, hedge_delay_s: float
     ) -> float | None:
@@ -92,6 +137,19 @@
             return None
         return attempt.sent_at + SUSPECT_HEDGE_DELAYS * hedge_delay_s
 
+    def _record_crash(
+        self,
+        fingerprint: str,
+        entry: servers.ServerEntry,
+        run: evidence.Run,
+        now: float,
+    ) -> None:
+        self._board.counters['crashes_confirmed'] += 1
+        crash = quarantines.Crash(
+            entry.server_id, entry.born_ms, run.at, run.alone
+        )
+        self._board.quarantine.record_crash(fingerprint, crash, now)
+
     def _must_wait(self, fingerprint: str) -> bool:
         quarantine = self._board.quarantine
         if not quarantine.is_suspected(fingerprint):
--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -11,8 +11,8 @@
 request ran alone. A crash is identified by its server's incarnation, so one
 that several nodes see counts once, and it still counts after the server has
 returned or its address belongs to another one. A lost connection alone is no
-crash: the server may have dropped it. Only a server that refuses a new
-connection has crashed.
+crash: the server may have dropped it. It has crashed if it refuses a new
+connection, or if its incarnation turns out to have ended (see `evidence`).
 """
 
 import collections
@@ -216,14 +216,18 @@
             alone = suspect.unconfirmed.pop(server)
             if crashed:
                 crash = Crash(server_id, born_ms, now, alone)
-                if self._add_crash(suspect, crash):
-                    self._decide('crash', fingerprint, now)
-                    self._stop_if_guilty(fingerprint, suspect, crash, now)
-                    self._tell(fingerprint, suspect, now)
+                self._confirm(fingerprint, suspect, crash, now)
             elif not suspect.crashes and not suspect.known_to_peers:
                 self._forget_unless_unconfirmed(fingerprint)
         return fingerprints
 
+    def record_crash(self, fingerprint: str, crash: Crash, now: float) -> None:
+        """Records a crash that was found out after the run had ended."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            suspect = self._add(fingerprint, now)
+        self._confirm(fingerprint, suspect, crash, now)
+
     def record_answer(self, fingerprint: str, now: float) -> bool:
         """Clears a request that a server has answered.
 
@@ -352,6 +356,14 @@
             del self._suspects[fingerprint]
             self._news.pop(fingerprint, None)
 
+    def _confirm(
+        self, fingerprint: str, suspect: Suspect, crash: Crash, now: float
+    ) -> None:
+        if self._add_crash(suspect, crash):
+            self._decide('crash', fingerprint, now)
+            self._stop_if_guilty(fingerprint, suspect, crash, now)
+            self._tell(fingerprint, suspect, now)
+
     def _add_crash(self, suspect: Suspect, crash: Crash) -> bool:
         """Adds a crash; returns False if it is known or outdated."""
         if crash.at <= suspect.cleared_at:
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -56,6 +56,19 @@
     sequence: int
 
 
+class EndedServer(NamedTuple):
+    """An incarnation of a server that the store shows to have ended.
+
+    Attributes:
+        entry: Its last entry.
+        certain: Whether another incarnation took its place. Otherwise its entry
+            was removed, and it may still complete what it runs.
+    """
+
+    entry: ServerEntry
+    certain: bool
+
+
 class Server:
     """Observations of one incarnation of a backend server.
 
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -299,6 +299,8 @@
                 self._pool.send(action, pending.request)
             elif type(action) is actions.Close:
                 self._pool.close(action.attempt_id)
+            elif type(action) is actions.Drop:
+                self._pool.lose(action.attempt_id, action.cause)
             elif type(action) is actions.Check:
                 self._pool.check(action.entry)
             else:
@@ -446,6 +448,7 @@
         )
 
     def _handle_changes(self, changes: list[str], source: str) -> None:
+        self._perform(self.exchanges.handle_ended_servers(self.now()))
         if not changes:
             return
         log = loguru.logger.bind(
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -198,6 +198,12 @@
         if connection is not None:
             connection.abort()
 
+    def lose(self, attempt_id: int, cause: str) -> None:
+        """Closes the connection of an attempt and reports a loss."""
+        connection = self._busy.get(attempt_id)
+        if connection is not None:
+            self.drop(connection, cause)
+
     def finish(
         self,
         connection: Connection,
--- a/tests/forwarding/clusters.py
+++ b/tests/forwarding/clusters.py
@@ -4,6 +4,8 @@
 
 from forwarding import worlds
 
+from balsamshore_core.forwarding import servers
+
 STEP_S = 0.002
 NEWS_STEPS = 3  # the host sends news 5 ms after a crash
 DATAGRAM_S = 0.002
@@ -17,6 +19,9 @@
         crashes: Time and server of each crash.
         down_s: How long a server is down after a crash.
         loss_cause: How the connections of a crashed server end.
+        manner: How a server crashes: `closed` (it refuses connections),
+            `supervised` (its listening socket stays open) or `silent` (nothing
+            is closed). The nodes learn of its new incarnation.
         keeps_incarnation: Whether a server returns with its former `born_ms`.
         cut: Nodes that no other node reaches.
     """
@@ -31,6 +36,7 @@
         self.crashes = []
         self.down_s = 2.0
         self.loss_cause = 'closed'
+        self.manner = 'closed'
         self.keeps_incarnation = False
         self.cut = set()
         self.rng = random.Random(seed)
@@ -85,10 +91,13 @@
     def crash(self, server_id):
         """Ends a server and all its connections; it returns later."""
         server = self.servers[server_id]
-        if server.mode == 'unreachable':
+        if server.mode in ('unreachable', 'silent'):
             return
         self.crashes.append((self.now, server_id))
-        server.mode = 'unreachable'
+        server.mode = 'unreachable' if self.manner == 'closed' else 'silent'
+        self._restarts.append((self.now + self.down_s, server_id))
+        if self.manner == 'silent':
+            return
         for node in self.nodes:
             lost = [
                 attempt
@@ -102,10 +111,10 @@
                         attempt, True, self.loss_cause
                     ),
                 )
-        self._restarts.append((self.now + self.down_s, server_id))
 
     def restart(self, server_id):
         server = self.servers[server_id]
+        former = server.entry
         server.mode = 'ok'
         if not self.keeps_incarnation:
             server.entry = server.entry._replace(
@@ -113,6 +122,10 @@
             )
         for node in self.nodes:
             node.board.registry.put(server.entry, node.now)
+            if server.entry != former:
+                ended = servers.EndedServer(former, True)
+                node.board.ended_servers.append(ended)
+            node.perform(node.exchanges.handle_ended_servers(node.now))
 
     def replace_node(self, number):
         """Replaces a node by a process that knows nothing."""
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -55,6 +55,20 @@
     assert len(cluster.crashes) <= (3 if route == 'plain' else 3 + 2)
 
 
+@pytest.mark.parametrize('manner', ['supervised', 'silent'])
+@pytest.mark.parametrize('down_s', [0.002, 0.6, 2.0])
+@pytest.mark.parametrize('route', ['plain', 'scattered'])
+def test_a_crash_is_known_from_the_next_incarnation(manner, down_s, route):
+    cluster = make_cluster(shards=3)
+    cluster.manner = manner
+    cluster.down_s = down_s
+    repeat(cluster, 20.0, 0.25, route)
+    third = sorted(cluster.crashes)[2][0]
+    late = [at for at, _ in cluster.crashes if at > third + 4.0]
+    assert len(cluster.crashes) >= quarantines.MIN_CRASHES
+    assert not late
+
+
 def test_repeats_that_arrive_at_once_are_stopped_after_the_first_loss():
     cluster = make_cluster(nodes=3, replicas=12)
     for _ in range(5):
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -147,6 +147,8 @@
             elif isinstance(action, actions.Close):
                 self.closed.append(action.attempt_id)
                 self.attempts.pop(action.attempt_id, None)
+            elif isinstance(action, actions.Drop):
+                self.lose(action.attempt_id, True, action.cause)
             elif isinstance(action, actions.Check):
                 self.check(action.entry)
             else:
