--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -33,6 +33,7 @@
 RECORD_BYTES = 16
 GRACE_S = 6
 CRASH_DOWN_S = 0.6
+CRASH_MANNERS = ('closed', 'truncated', 'supervised', 'silent')
 PROCESSING_S = {'slow': 0.4, 'slower': 2.5}  # by mode of the server
 
 
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -6,10 +6,11 @@
 seed determines the faults: nodes are stopped, continued, terminated, killed,
 restarted and made to reload their settings; the store fails, does not reply
 or is reached through a proxy that delays, resets and stalls connections;
-servers fail in many ways, and two requests crash each server that runs them
-and are repeated at random nodes. The test checks what callers and servers
-observed against the program's guarantees. On violations it prints their seeds
-and exits with status 1.
+servers fail in many ways, alone or all of a service, and two requests crash
+each server that runs them, in four manners, and are repeated at random nodes.
+The test checks what callers and servers observed against the program's
+guarantees and the bounds on attempts. On violations it prints their seeds and
+exits with status 1.
 
     python -m adapter.soak --seeds=1-3 --fault=repeat
 
@@ -32,7 +33,7 @@
 from balsamshore_node.forwarding import messages
 from balsamshore_standins import proxy
 
-NODES = 4
+NODES = 4  # unless --nodes says otherwise
 # The modes are explained at `emulator.Emulator`.
 SERVER_MODES = ('ok', 'ok', 'full', 'reset', 'dark', 'late_extra', 'garbage',
                 'broken', 'unframed', 'slow')  # fmt: skip
@@ -109,7 +110,7 @@
         platform = self.soak.platform
         platform.crashing_targets.update(CRASHING_TARGETS)
         while not self.soak.ended:
-            index = self.rng.randint(1, NODES)
+            index = self.rng.randint(1, self.soak.nodes)
             target = self.rng.choice(CRASHING_TARGETS)
             try:
                 response = await asyncio.wait_for(
@@ -131,8 +132,9 @@
         signals: Node index and time of each signal and start.
     """
 
-    def __init__(self, seed, folder, fault=''):
+    def __init__(self, seed, folder, fault='', nodes=NODES):
         self.rng = random.Random(seed)
+        self.nodes = nodes
         self.platform = emulator.Emulator(folder, f'127.{100 + seed % 100}')
         if fault:
             self.platform.program = ('-m', 'adapter.sabotage', fault)
@@ -160,12 +162,12 @@
                     f'{service}{number // 3}', service, number + 1
                 )
             await platform.put('op/config', emulator.make_table(1))
-            for index in range(1, NODES + 1):
+            for index in range(1, self.nodes + 1):
                 platform.start_node(f'n{index}', index)
-            await platform.wait_ready(*range(1, NODES + 1))
+            await platform.wait_ready(*range(1, self.nodes + 1))
             callers = [
                 asyncio.create_task(Caller(self, index, number).run())
-                for index in range(1, NODES + 1)
+                for index in range(1, self.nodes + 1)
                 for number in range(2)
             ]
             callers.append(asyncio.create_task(Crasher(self).run()))
@@ -184,6 +186,7 @@
     async def inject_faults(self, seconds):
         """Injects random faults, which may overlap."""
         faults = (self.fail_server, self.fail_server, self.fail_store,
+                  self.fail_service, self.change_crash_manner,
                   self.disrupt_store_connection, self.change_configuration,
                   self.signal_node, self.signal_node)  # fmt: skip
         for _ in range(round(seconds / MEAN_FAULT_PAUSE_S)):
@@ -194,6 +197,17 @@
         name = self.rng.choice(sorted(self.platform.server_modes))
         self.platform.server_modes[name] = self.rng.choice(SERVER_MODES)
 
+    async def fail_service(self):
+        """Lets all servers of a service fail alike."""
+        service = self.rng.choice('abc')
+        mode = self.rng.choice(SERVER_MODES)
+        for name in self.platform.server_modes:
+            if name.startswith(service):
+                self.platform.server_modes[name] = mode
+
+    async def change_crash_manner(self):
+        self.platform.crash_manner = self.rng.choice(emulator.CRASH_MANNERS)
+
     async def fail_store(self):
         self.platform.store_mode = self.rng.choice(STORE_MODES)
 
@@ -212,7 +226,7 @@
         await self.platform.put('op/config', emulator.make_table(self.version))
 
     async def signal_node(self):
-        index = self.rng.randint(1, NODES)
+        index = self.rng.randint(1, self.nodes)
         name = f'n{index}'
         signal_number = self.rng.choice(
             (signal.SIGSTOP, signal.SIGCONT, signal.SIGHUP, signal.SIGTERM,
@@ -232,18 +246,18 @@
         platform.store_mode = 'ok'
         platform.server_modes.update(dict.fromkeys(platform.server_modes, 'ok'))
         self.proxy.apply(proxy.Rule())
-        for index in range(1, NODES + 1):
+        for index in range(1, self.nodes + 1):
             name = f'n{index}'
             self.record_signal(index)
             platform.send_signal(name, signal.SIGCONT)
             await asyncio.sleep(0.1)
         for _ in range(round(RECOVERY_S / 0.2)):
-            for index in range(1, NODES + 1):
+            for index in range(1, self.nodes + 1):
                 if platform.processes[f'n{index}'].poll() is not None:
                     self.record_signal(index)
                     platform.start_node(f'n{index}', index)
             await asyncio.sleep(0.2)
-        for index in range(1, NODES + 1):
+        for index in range(1, self.nodes + 1):
             response = await platform.send_request(index, '/q/x')
             if response.status != 200 or 'missing-parts' in response.headers:
                 self.violations.append(f'node {index} does not recover')
@@ -320,10 +334,10 @@
         )
 
 
-def run_seed(seed, seconds, fault=''):
+def run_seed(seed, seconds, fault='', nodes=NODES):
     """Runs one seed; returns the violations and the number of answers."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, pathlib.Path(folder), fault)
+        soak = Soak(seed, pathlib.Path(folder), fault, nodes)
         asyncio.run(soak.run(seconds))
         return soak.violations, soak.answers
 
@@ -332,12 +346,15 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', default='1-3')
     parser.add_argument('--seconds', type=float, default=12.0)
+    parser.add_argument('--nodes', type=int, default=NODES)
     parser.add_argument('--fault', default='', choices=['', *sabotage.FAULTS])
     options = parser.parse_args()
     first, _, last = options.seeds.partition('-')
     failed = []
     for seed in range(int(first), int(last or first) + 1):
-        violations, answers = run_seed(seed, options.seconds, options.fault)
+        violations, answers = run_seed(
+            seed, options.seconds, options.fault, options.nodes
+        )
         print(
             f'seed {seed}: {answers} answers, {violations or "no violations"}'
         )
--- a/tests/adapter/test_budget.py
+++ b/tests/adapter/test_budget.py
@@ -4,7 +4,7 @@
 import contextlib
 
 import pytest
-from adapter import sabotage
+from adapter import partitions
 from adapter import test_program
 
 pytestmark = pytest.mark.anyio
@@ -18,10 +18,8 @@
 
 
 @contextlib.asynccontextmanager
-async def start_fleet(tmp_path, fault=''):
+async def start_fleet(tmp_path, program=None):
     """Starts seven nodes before three services of two servers each."""
-    assert fault in ('', *sabotage.FAULTS)
-    program = ('-m', 'adapter.sabotage', fault) if fault else None
     async with test_program.start_platform(
         tmp_path, NODES, '127.78', program
     ) as platform:
@@ -82,6 +80,22 @@
         assert check_bounds(platform) == []
 
 
+async def test_nodes_that_are_cut_off_keep_the_bound_on_extra_arrivals(
+    tmp_path,
+):
+    # The cut lasts longer than the 30 s for which silent nodes used to count.
+    program = ('-m', 'adapter.partitions')
+    async with start_fleet(tmp_path, program) as platform:
+        nodes = range(1, NODES + 1)
+        await load(platform, dict.fromkeys(nodes, 0.5), 5.0)
+        hosts = {f'{platform.network}.2.{index}': index for index in nodes}
+        partitions.write(tmp_path, hosts)
+        await load(platform, dict.fromkeys(nodes, 0.5), 36.0)
+        set_all(platform, 'full')
+        await load(platform, dict.fromkeys(nodes, 4.0), 12.0)
+        assert check_bounds(platform) == []
+
+
 FAULTS = {
     'attempts': 'servers of a, 2 are allowed',
     'deadlines': 'had too late a deadline',
@@ -91,7 +105,8 @@
 
 @pytest.mark.parametrize('fault', FAULTS)
 async def test_a_broken_bound_is_noticed(tmp_path, fault):
-    async with start_fleet(tmp_path, fault) as platform:
+    program = ('-m', 'adapter.sabotage', fault)
+    async with start_fleet(tmp_path, program) as platform:
         await platform.add_server('a2', 'a', 3)
         set_all(platform, 'full' if fault == 'extra' else 'reset')
         await load(platform, {1: 8.0, 2: 8.0}, 4.0, ('/p/x',))
