Name incarnations once; perform actions by a table; give suspects a module

Change: ServerEntry.incarnation; Host._performers; core.forwarding.suspects holds what quarantine keeps and sends; senders are updated once a heartbeat.

--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -16,10 +16,10 @@
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import delays
 from balsamshore_core.forwarding import isolation
-from balsamshore_core.forwarding import quarantine
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
+from balsamshore_core.forwarding import suspects
 from balsamshore_core.forwarding import timers
 from balsamshore_core.forwarding import waitqueues
 
@@ -191,13 +191,13 @@
                 output += [
                     actions.Drop(attempt_id, 'ended')
                     for attempt_id, attempt in self._state.attempts.items()
-                    if _is_same_incarnation(attempt.server.entry, entry)
+                    if attempt.server.entry.incarnation == entry.incarnation
                 ]
         return output
 
     def apply_notices(
         self,
-        notices: collections.abc.Iterable[quarantine.Notice],
+        notices: collections.abc.Iterable[suspects.Notice],
         now: float,
     ) -> boards.Actions:
         """Applies another node's notices about requests that crash servers."""
@@ -715,12 +715,6 @@
     return '', ''
 
 
-def _is_same_incarnation(
-    entry: servers.ServerEntry, other: servers.ServerEntry
-) -> bool:
-    return (entry.server_id, entry.born_ms) == (other.server_id, other.born_ms)
-
-
 def _release_parts(exchange: boards.Exchange) -> None:
     """Releases bodies and the reference cycle of exchange and parts.
 
--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -190,7 +190,11 @@
             if now - member.last_heartbeat_at > MEMBER_EXPIRY_S:
                 del self.members[name]
                 self._by_key.pop(member.key, None)
-        self._update_senders(now)
+        self._senders.update(
+            [self.own_record, *self.list_alive(now)],
+            len(self._unheard_seeds),
+            now,
+        )
         local_hosts, remote_hosts = self._split_by_domain(now)
         local_recipients = self._rng.sample(
             local_hosts, min(FANOUT, len(local_hosts))
@@ -423,14 +427,12 @@
         )
         return [self.own_record, *found]
 
-    def count_senders(self, now: float) -> int:
+    def count_senders(self) -> int:
         """Returns how many nodes send significant load; see `senders`."""
-        self._update_senders(now)
         return self._senders.count()
 
     def find_slack_share(self, now: float) -> float:
         """Returns this node's share of the slack of retry budgets."""
-        self._update_senders(now)
         return self._senders.find_share(now)
 
     def find_reader_rank(self, now: float) -> int:
@@ -483,13 +485,6 @@
             for member in self.members.values():
                 member.last_heartbeat_at += gap_s
 
-    def _update_senders(self, now: float) -> None:
-        self._senders.update(
-            [self.own_record, *self.list_alive(now)],
-            len(self._unheard_seeds),
-            now,
-        )
-
     def _pick_records(self, now: float) -> tuple[NodeRecord, ...]:
         """Picks records for a new node, those of this domain first."""
         members = self._sort_members(True)
--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -7,8 +7,8 @@
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import evidence
-from balsamshore_core.forwarding import quarantine as quarantines
 from balsamshore_core.forwarding import servers
+from balsamshore_core.forwarding import suspects
 
 CRASH_CAUSES = frozenset(('reset', 'closed', 'truncated', 'ended'))
 # A suspect is hedged late: a crash shows before its server could be just slow.
@@ -97,9 +97,7 @@
             return False
         entry = attempt.server.entry
         run = evidence.Run(attempt.alone, now)
-        ended = self._evidence.add(
-            (entry.server_id, entry.born_ms), exchange.fingerprint, run
-        )
+        ended = self._evidence.add(entry.incarnation, exchange.fingerprint, run)
         if ended:
             self._record_crash(exchange.fingerprint, entry, run, now)
         return ended
@@ -110,14 +108,14 @@
         Returns:
             The requests that had no answer from it.
         """
-        runs = self._evidence.end((entry.server_id, entry.born_ms), now)
+        runs = self._evidence.end(entry.incarnation, now)
         for fingerprint, run in runs.items():
             self._record_crash(fingerprint, entry, run, now)
         return list(runs)
 
     def record_reply(self, entry: servers.ServerEntry) -> None:
         """Records that a server is alive."""
-        self._evidence.clear_server((entry.server_id, entry.born_ms))
+        self._evidence.clear_server(entry.incarnation)
 
     def record_answer(self, fingerprint: str, now: float) -> None:
         """Records that a server answered a request."""
@@ -145,7 +143,7 @@
         now: float,
     ) -> None:
         self._board.counters['crashes_confirmed'] += 1
-        crash = quarantines.Crash(
+        crash = suspects.Crash(
             entry.server_id, entry.born_ms, run.at, run.alone
         )
         self._board.quarantine.record_crash(fingerprint, crash, now)
--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -18,7 +18,8 @@
 import collections
 import collections.abc
 import hashlib
-from typing import NamedTuple
+
+from balsamshore_core.forwarding import suspects
 
 MIN_CRASHES = 3
 MAX_HEDGED_CRASHES = 1  # a request with more is not hedged
@@ -36,99 +37,15 @@
 MAX_NOTICES = 6  # per datagram, at most 1.1 KB
 
 
-class Crash(NamedTuple):
-    """The crash of one incarnation of a server.
-
-    Attributes:
-        server_id: Id of the server.
-        born_ms: Incarnation of the server.
-        at: Monotonic seconds.
-        alone: Whether the request was already a suspect when its node sent it
-            to this server.
-    """
-
-    server_id: str
-    born_ms: int
-    at: float
-    alone: bool
-
-
-class Notice(NamedTuple):
-    """What a node tells others about one request.
-
-    Attributes:
-        fingerprint: Fingerprint of the request.
-        crashes: Of each crash the server id, the incarnation, the age in
-            seconds and whether the request ran alone.
-        stops: How often the request was stopped.
-        stopped_s: Remaining seconds of the current stop, or 0.
-        cleared_s: Age of the last answer in seconds, or -1.
-    """
-
-    fingerprint: str
-    crashes: tuple[tuple[str, int, float, bool], ...]
-    stops: int
-    stopped_s: float
-    cleared_s: float
-
-
-class Decision(NamedTuple):
-    """A change of what this node believes about a request, for the log."""
-
-    what: str
-    fingerprint: str
-    server: str
-    crashes: int
-    stopped_s: float
-
-
-class Suspect:
-    """A request under which a server was lost.
-
-    Attributes:
-        crashes: Its crashes since it was last cleared, oldest first.
-        unconfirmed: Incarnations of servers whose connections were lost and
-            that have not been checked yet; whether the run was alone.
-        stops: How often it was stopped.
-        stopped_until: End of the last stop.
-        cleared_at: When a server last answered it.
-        changed_at: When this node last learned something about it.
-        known_to_peers: Whether other nodes were told, or told this one.
-    """
-
-    __slots__ = (
-        'changed_at',
-        'cleared_at',
-        'crashes',
-        'known_to_peers',
-        'stopped_until',
-        'stops',
-        'unconfirmed',
-    )
-
-    def __init__(self, now: float):
-        self.crashes: list[Crash] = []
-        self.unconfirmed: dict[tuple[str, int], bool] = {}
-        self.stops = 0
-        self.stopped_until = float('-inf')
-        self.cleared_at = float('-inf')
-        self.changed_at = now
-        self.known_to_peers = False
-
-    def is_suspected(self) -> bool:
-        """Returns whether it must run alone."""
-        return bool(self.crashes or self.unconfirmed)
-
-
 class Quarantine:
     """Suspects of this node, and the news for other nodes."""
 
     def __init__(self):
-        self._suspects: dict[str, Suspect] = {}
+        self._suspects: dict[str, suspects.Suspect] = {}
         self._checks: dict[tuple[str, int], set[str]] = {}
         self._news: dict[str, None] = {}
-        self._decisions: collections.deque[Decision] = collections.deque(
-            maxlen=MAX_SUSPECTS
+        self._decisions: collections.deque[suspects.Decision] = (
+            collections.deque(maxlen=MAX_SUSPECTS)
         )
         self._own_name = ''
         self._active_nodes: tuple[str, ...] = ()
@@ -215,13 +132,15 @@
                 continue
             alone = suspect.unconfirmed.pop(server)
             if crashed:
-                crash = Crash(server_id, born_ms, now, alone)
+                crash = suspects.Crash(server_id, born_ms, now, alone)
                 self._confirm(fingerprint, suspect, crash, now)
             elif not suspect.crashes and not suspect.known_to_peers:
                 self._forget_unless_unconfirmed(fingerprint)
         return fingerprints
 
-    def record_crash(self, fingerprint: str, crash: Crash, now: float) -> None:
+    def record_crash(
+        self, fingerprint: str, crash: suspects.Crash, now: float
+    ) -> None:
         """Records a crash that was found out after the run had ended."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
@@ -249,7 +168,7 @@
         return True
 
     def apply_notices(
-        self, notices: collections.abc.Iterable[Notice], now: float
+        self, notices: collections.abc.Iterable[suspects.Notice], now: float
     ) -> list[str]:
         """Applies what another node tells.
 
@@ -262,7 +181,7 @@
                 changed.append(notice.fingerprint)
         return changed
 
-    def take_news(self, now: float) -> tuple[list[Notice], bool]:
+    def take_news(self, now: float) -> tuple[list[suspects.Notice], bool]:
         """Returns news that other nodes have not been told by this one.
 
         Returns:
@@ -281,7 +200,7 @@
             notices.append(_build_notice(fingerprint, suspect, now))
         return notices, urgent
 
-    def list_rumors(self, now: float) -> list[Notice]:
+    def list_rumors(self, now: float) -> list[suspects.Notice]:
         """Lists what this node learned lately, to repeat to random nodes."""
         recent = [
             fingerprint
@@ -290,7 +209,7 @@
         ]
         return self._build_notices(recent[-MAX_NOTICES:], now)
 
-    def list_reminders(self, now: float) -> list[Notice]:
+    def list_reminders(self, now: float) -> list[suspects.Notice]:
         """Lists requests to tell nodes that may not know them.
 
         Stopped requests come first, others of them at each call; then the
@@ -310,7 +229,7 @@
         fingerprints = [*stopped, *reversed(suspected)]
         return self._build_notices(fingerprints[:MAX_NOTICES], now)
 
-    def take_decisions(self) -> list[Decision]:
+    def take_decisions(self) -> list[suspects.Decision]:
         """Returns the decisions since the last call."""
         decisions = list(self._decisions)
         self._decisions.clear()
@@ -326,16 +245,16 @@
 
     def count(self, now: float) -> tuple[int, int]:
         """Returns the number of suspects and of those that are stopped."""
-        suspects = self._suspects.values()
+        remembered = self._suspects.values()
         return (
-            sum(suspect.is_suspected() for suspect in suspects),
-            sum(now < suspect.stopped_until for suspect in suspects),
+            sum(suspect.is_suspected() for suspect in remembered),
+            sum(now < suspect.stopped_until for suspect in remembered),
         )
 
-    def _add(self, fingerprint: str, now: float) -> Suspect:
+    def _add(self, fingerprint: str, now: float) -> suspects.Suspect:
         if len(self._suspects) >= MAX_SUSPECTS:
             self._evict()
-        suspect = self._suspects[fingerprint] = Suspect(now)
+        suspect = self._suspects[fingerprint] = suspects.Suspect(now)
         return suspect
 
     def _evict(self) -> None:
@@ -357,14 +276,20 @@
             self._news.pop(fingerprint, None)
 
     def _confirm(
-        self, fingerprint: str, suspect: Suspect, crash: Crash, now: float
+        self,
+        fingerprint: str,
+        suspect: suspects.Suspect,
+        crash: suspects.Crash,
+        now: float,
     ) -> None:
         if self._add_crash(suspect, crash):
             self._decide('crash', fingerprint, now)
             self._stop_if_guilty(fingerprint, suspect, crash, now)
             self._tell(fingerprint, suspect, now)
 
-    def _add_crash(self, suspect: Suspect, crash: Crash) -> bool:
+    def _add_crash(
+        self, suspect: suspects.Suspect, crash: suspects.Crash
+    ) -> bool:
         """Adds a crash; returns False if it is known or outdated."""
         if crash.at <= suspect.cleared_at:
             return False
@@ -378,7 +303,11 @@
         return crash in suspect.crashes
 
     def _stop_if_guilty(
-        self, fingerprint: str, suspect: Suspect, crash: Crash, now: float
+        self,
+        fingerprint: str,
+        suspect: suspects.Suspect,
+        crash: suspects.Crash,
+        now: float,
     ) -> None:
         if len(suspect.crashes) < MIN_CRASHES:
             return
@@ -389,7 +318,7 @@
         suspect.stopped_until = now + stop_s
         self._decide('stopped', fingerprint, now)
 
-    def _clear(self, suspect: Suspect, cleared_at: float) -> None:
+    def _clear(self, suspect: suspects.Suspect, cleared_at: float) -> None:
         """Drops what happened before an answer."""
         suspect.cleared_at = max(suspect.cleared_at, cleared_at)
         suspect.crashes = [
@@ -399,19 +328,21 @@
             suspect.stops = 0
             suspect.stopped_until = float('-inf')
 
-    def _tell(self, fingerprint: str, suspect: Suspect, now: float) -> None:
+    def _tell(
+        self, fingerprint: str, suspect: suspects.Suspect, now: float
+    ) -> None:
         """Makes a suspect the newest one and news for other nodes."""
         self._move_to_end(fingerprint, suspect, now)
         self._news[fingerprint] = None
 
     def _move_to_end(
-        self, fingerprint: str, suspect: Suspect, now: float
+        self, fingerprint: str, suspect: suspects.Suspect, now: float
     ) -> None:
         suspect.changed_at = now
         self._suspects.pop(fingerprint, None)
         self._suspects[fingerprint] = suspect
 
-    def _apply_notice(self, notice: Notice, now: float) -> bool:
+    def _apply_notice(self, notice: suspects.Notice, now: float) -> bool:
         suspect = self._suspects.get(notice.fingerprint)
         if suspect is None:
             if not notice.crashes:
@@ -427,7 +358,7 @@
             if cleared_at > suspect.cleared_at + AGE_ERROR_S:
                 self._clear(suspect, cleared_at)
         crashes = [
-            Crash(server_id, born_ms, now - age_s, alone)
+            suspects.Crash(server_id, born_ms, now - age_s, alone)
             for server_id, born_ms, age_s, alone in notice.crashes
             if now - age_s > suspect.cleared_at
         ]
@@ -456,7 +387,7 @@
 
     def _build_notices(
         self, fingerprints: collections.abc.Iterable[str], now: float
-    ) -> list[Notice]:
+    ) -> list[suspects.Notice]:
         return [
             _build_notice(fingerprint, self._suspects[fingerprint], now)
             for fingerprint in fingerprints
@@ -465,7 +396,7 @@
     def _decide(self, what: str, fingerprint: str, now: float) -> None:
         suspect = self._suspects[fingerprint]
         self._decisions.append(
-            Decision(
+            suspects.Decision(
                 what,
                 fingerprint,
                 suspect.crashes[-1].server_id if suspect.crashes else '',
@@ -483,11 +414,13 @@
         )
 
 
-def _build_notice(fingerprint: str, suspect: Suspect, now: float) -> Notice:
+def _build_notice(
+    fingerprint: str, suspect: suspects.Suspect, now: float
+) -> suspects.Notice:
     cleared_s = -1.0
     if suspect.cleared_at > float('-inf'):
         cleared_s = round(now - suspect.cleared_at, 3)
-    return Notice(
+    return suspects.Notice(
         fingerprint,
         tuple(
             crash._replace(at=round(now - crash.at, 3))
--- a/packages/core/balsamshore_core/forwarding/rumors.py
+++ b/packages/core/balsamshore_core/forwarding/rumors.py
@@ -11,6 +11,7 @@
 
 from balsamshore_core.forwarding import fleet as fleets
 from balsamshore_core.forwarding import quarantine as quarantines
+from balsamshore_core.forwarding import suspects
 
 HEARTBEATS_PER_REMINDER = 10
 
@@ -19,7 +20,7 @@
     """Notices to be sent to other nodes."""
 
     recipients: tuple[str, ...]
-    notices: tuple[quarantines.Notice, ...]
+    notices: tuple[suspects.Notice, ...]
 
 
 class Rumors:
@@ -77,7 +78,7 @@
 
 def _build_messages(
     recipients: collections.abc.Sequence[str],
-    notices: collections.abc.Sequence[quarantines.Notice],
+    notices: collections.abc.Sequence[suspects.Notice],
 ) -> list[NoticeMessage]:
     if not recipients or not notices:
         return []
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -55,6 +55,11 @@
     born_ms: int
     sequence: int
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """What tells this start of the server from all others."""
+        return self.server_id, self.born_ms
+
 
 class EndedServer(NamedTuple):
     """An incarnation of a server that the store shows to have ended.
--- a/packages/node/balsamshore_node/forwarding/gossip.py
+++ b/packages/node/balsamshore_node/forwarding/gossip.py
@@ -16,7 +16,7 @@
 
 from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import fleet
-from balsamshore_core.forwarding import quarantine
+from balsamshore_core.forwarding import suspects
 from balsamshore_node.forwarding import sockets
 
 MAX_ITEMS_BYTES = 8_192  # larger changes are fetched over a stream
@@ -73,7 +73,7 @@
         heartbeats: tuple[fleet.Heartbeat, ...] = (),
         requested_keys: tuple[int, ...] = (),
         relay: bool = False,
-        notices: collections.abc.Sequence[quarantine.Notice] = (),
+        notices: collections.abc.Sequence[suspects.Notice] = (),
     ):
         self.notices = notices
         self.records = records
@@ -158,8 +158,8 @@
     stops: int,
     stopped_s: float,
     cleared_s: float,
-) -> quarantine.Notice:
-    return quarantine.Notice(
+) -> suspects.Notice:
+    return suspects.Notice(
         str(fingerprint),
         tuple(
             (str(server_id), int(born_ms), float(age_s), bool(alone))
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -179,6 +179,13 @@
             self._handle_loss,
             self._handle_check,
         )
+        self._performers: dict[type, collections.abc.Callable] = {
+            actions.Send: self._send_attempt,
+            actions.Close: lambda action: self._pool.close(action.attempt_id),
+            actions.Drop: lambda action: self._pool.lose(*action),
+            actions.Check: lambda action: self._pool.check(action.entry),
+            actions.Answer: self._send_answer,
+        }
         self._gossip = gossip.Gossip(
             self._handle_payload,
             self._list_since,
@@ -294,19 +301,12 @@
 
     def _perform(self, output: boards.Actions) -> None:
         for action in output:
-            if type(action) is actions.Send:
-                pending = self._pending[action.exchange_id]
-                self._pool.send(action, pending.request)
-            elif type(action) is actions.Close:
-                self._pool.close(action.attempt_id)
-            elif type(action) is actions.Drop:
-                self._pool.lose(action.attempt_id, action.cause)
-            elif type(action) is actions.Check:
-                self._pool.check(action.entry)
-            else:
-                self._send_answer(action)
+            self._performers[type(action)](action)
         self._schedule_timer()
 
+    def _send_attempt(self, action: actions.Send) -> None:
+        self._pool.send(action, self._pending[action.exchange_id].request)
+
     def _send_answer(self, answer: actions.Answer) -> None:
         pending = self._pending.pop(answer.exchange_id)
         closing = self._shutdown_started_at is not None
@@ -611,7 +611,7 @@
         self._log.flush()
 
     def _update_senders(self, now: float) -> None:
-        senders = self.fleet.count_senders(now)
+        senders = self.fleet.count_senders()
         if senders != self.board.senders:
             loguru.logger.bind(
                 event='senders',
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -221,7 +221,7 @@
             connection.expires_at = now + min(
                 IDLE_TIMEOUT_S, server_timeout_s * KEEP_ALIVE_FRACTION
             )
-            key = (connection.entry.server_id, connection.entry.born_ms)
+            key = connection.entry.incarnation
             self._idle.setdefault(key, []).append(connection)
         else:
             connection.abort()
@@ -231,7 +231,7 @@
         """Closes a connection; reports its attempt, if any, as lost."""
         attempt_id = connection.attempt_id
         connection.abort()
-        key = (connection.entry.server_id, connection.entry.born_ms)
+        key = connection.entry.incarnation
         idle = self._idle.get(key)
         if idle is not None and connection in idle:
             idle.remove(connection)
@@ -260,7 +260,7 @@
     def _pop_idle(
         self, entry: servers.ServerEntry, proven: bool
     ) -> Connection | None:
-        idle = self._idle.get((entry.server_id, entry.born_ms))
+        idle = self._idle.get(entry.incarnation)
         now = self._read_clock()
         while idle:
             connection = idle.pop()
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -317,10 +317,11 @@
     fleet = Fleet()
     fleet.run(4.0)
     node = fleet.nodes['n02'].fleet
-    before = node.count_senders(fleet.now)
+    before = node.count_senders()
     for member in node.members.values():
         member.last_heartbeat_at = -100.0
-    assert node.count_senders(fleet.now + 0.1) == before
+    node.tick(fleet.now + 0.1)
+    assert node.count_senders() == before
 
 
 def count_connections(fleet, names):
@@ -329,7 +330,7 @@
     total = 0
     for name in names:
         node = fleet.nodes[name].fleet
-        world.board.senders = node.count_senders(fleet.now)
+        world.board.senders = node.count_senders()
         total += world.exchanges.find_connection_share('s0')
     return total
 
@@ -359,9 +360,7 @@
     for node in fleet.nodes.values():
         node.fleet.own_record = node.fleet.own_record._replace(load=0.02)
     fleet.run(4.0)
-    counted = {
-        node.fleet.count_senders(fleet.now) for node in fleet.nodes.values()
-    }
+    counted = {node.fleet.count_senders() for node in fleet.nodes.values()}
     assert counted == {placement.MIN_ACTIVE}
 
 
--- a/tests/forwarding/test_gossip.py
+++ b/tests/forwarding/test_gossip.py
@@ -8,6 +8,7 @@
 from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import fleet
 from balsamshore_core.forwarding import quarantine
+from balsamshore_core.forwarding import suspects
 from balsamshore_node.forwarding import gossip
 
 RECORD = fleet.NodeRecord(
@@ -42,7 +43,7 @@
     assert decoded.relay
 
 
-NOTICE = quarantine.Notice('f' * 16, (('i-1', 5, 0.25, True),), 1, 29.5, -1.0)
+NOTICE = suspects.Notice('f' * 16, (('i-1', 5, 0.25, True),), 1, 29.5, -1.0)
 
 
 def test_notices_are_decoded_as_encoded():
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -9,6 +9,7 @@
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import isolation
 from balsamshore_core.forwarding import quarantine as quarantines
+from balsamshore_core.forwarding import suspects
 
 POISON = 'poison'
 
@@ -259,7 +260,7 @@
     quarantine.take_news(0.1)
     third = ('s2', 1, 0.05, True)
     quarantine.apply_notices(
-        [quarantines.Notice('f', (third,), 0, 0.0, -1.0)], 0.2
+        [suspects.Notice('f', (third,), 0, 0.0, -1.0)], 0.2
     )
     news, urgent = quarantine.take_news(0.3)
     assert urgent
