End the trials of a request that goes on crashing servers

The fourth came after 20 minutes. Cause: stops lasted 30 s, 2, 8 and then 10 minutes each; nothing bounded their number. A request that is answered in a trial is served again as before.

--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -25,9 +25,9 @@
 MAX_HEDGED_CRASHES = 1  # a request with more is not hedged
 KEPT_CRASHES = 4  # per request; enough to tell repeats of an older report
 SAME_MOMENT_S = 1.0  # a server takes longer to return and crash again
-FIRST_STOP_S = 30.0
-STOP_FACTOR = 4  # each stop is longer than the previous one by this
-MAX_STOP_S = 600.0
+# Each stop but the last ends with a trial. A request may reach servers in three
+# trials; after that it is stopped until its repeats have surely ended.
+STOPS_S = (30.0, 120.0, 480.0, 86_400.0)
 TRIAL_STAGGER_S = 2.0  # between nodes; a crash is known everywhere in less
 MEMORY_S = 600.0  # how long a suspect is remembered without news
 CLEARANCE_S = 30.0  # how long a clearance is kept for late reports
@@ -313,7 +313,7 @@
             return
         if crash.at < suspect.stopped_until:
             return
-        stop_s = min(FIRST_STOP_S * STOP_FACTOR**suspect.stops, MAX_STOP_S)
+        stop_s = STOPS_S[min(suspect.stops, len(STOPS_S) - 1)]
         suspect.stops += 1
         suspect.stopped_until = now + stop_s
         self._decide('stopped', fingerprint, now)
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -311,11 +311,29 @@
     assert len(cluster.crashes) == before + 1
 
 
+@pytest.mark.parametrize('gap_s', [1.0, 20.0, 300.0])
+def test_a_request_that_goes_on_crashing_servers_is_tried_three_times(gap_s):
+    # Trials that never end add up: the fourth came after twenty minutes.
+    quarantine = quarantines.Quarantine()
+    runs = []
+    now = 0.0
+    while now < 12 * 3600.0:
+        if quarantine.find_stop_end(POISON, now) is None:
+            server = f's{len(runs)}'
+            runs.append(now)
+            quarantine.record_loss(POISON, server, 1, True, now)
+            quarantine.record_check(server, 1, True, now)
+        quarantine.expire(now)
+        now += gap_s
+    late = [at for at in runs if at > runs[2] + 4.0]
+    assert 1 <= len(late) <= 3
+
+
 def test_a_request_that_no_longer_crashes_servers_is_served_again():
     cluster = make_cluster()
     repeat(cluster, 3.0)
     cluster.crashing.clear()
-    asked = repeat(cluster, quarantines.FIRST_STOP_S + 8.0, 0.5)
+    asked = repeat(cluster, quarantines.STOPS_S[0] + 8.0, 0.5)
     assert cluster.answer(asked[20]).reason == 'quarantined'
     for number in range(3):
         assert cluster.answer(asked[-1 - number]).outcome == 'complete'
