--- a/packages/core/balsamshore_core/forwarding/evidence.py
+++ b/packages/core/balsamshore_core/forwarding/evidence.py
@@ -32,6 +32,7 @@
 
     def __init__(self):
         self._runs: dict[Incarnation, dict[str, Run]] = {}
+        self._servers: dict[str, set[Incarnation]] = {}
         self._ended: collections.OrderedDict[Incarnation, float] = (
             collections.OrderedDict()
         )
@@ -44,23 +45,35 @@
         """
         if run.at - self._ended.get(server, float('-inf')) <= RETENTION_S:
             return True
-        runs = self._runs.pop(server, {})
-        if len(self._runs) >= MAX_SERVERS:
-            del self._runs[next(iter(self._runs))]
-        self._runs[server] = runs
-        if len(runs) < MAX_RUNS:
+        if server not in self._runs and len(self._runs) >= MAX_SERVERS:
+            self.clear_server(next(iter(self._runs)))
+        runs = self._runs.setdefault(server, {})
+        if len(runs) < MAX_RUNS or fingerprint in runs:
             runs[fingerprint] = run
+            self._servers.setdefault(fingerprint, set()).add(server)
         return False
 
-    def clear_server(self, server: Incarnation) -> None:
-        """Drops the runs on a server, which has answered a request since."""
-        if self._runs:
-            self._runs.pop(server, None)
+    def clear_server(self, server: Incarnation) -> dict[str, Run]:
+        """Drops the runs on a server, which has answered a request since.
+
+        Returns:
+            The runs, by fingerprint.
+        """
+        runs = self._runs.pop(server, {})
+        for fingerprint in runs:
+            servers = self._servers[fingerprint]
+            servers.discard(server)
+            if not servers:
+                del self._servers[fingerprint]
+        return runs
 
     def clear_request(self, fingerprint: str) -> None:
         """Drops the runs of a request, which a server has answered since."""
-        for runs in self._runs.values():
-            runs.pop(fingerprint, None)
+        for server in self._servers.pop(fingerprint, ()):
+            runs = self._runs[server]
+            del runs[fingerprint]
+            if not runs:
+                del self._runs[server]
 
     def end(self, server: Incarnation, now: float) -> dict[str, Run]:
         """Records the end of an incarnation.
@@ -73,6 +86,6 @@
             self._ended.popitem(last=False)
         return {
             fingerprint: run
-            for fingerprint, run in self._runs.pop(server, {}).items()
+            for fingerprint, run in self.clear_server(server).items()
             if now - run.at <= RETENTION_S
         }
--- a/tests/forwarding/test_evidence.py
+++ b/tests/forwarding/test_evidence.py
@@ -5,6 +5,7 @@
 
 from balsamshore_core.forwarding import catalog as catalogs
 from balsamshore_core.forwarding import evidence
+from balsamshore_core.forwarding import isolation
 from balsamshore_core.forwarding import servers
 
 KEY = 'servers/s0-0'
@@ -177,6 +178,19 @@
     assert sum(map(bool, counts)) <= evidence.MAX_SERVERS
 
 
+def test_runs_are_found_by_server_and_by_request():
+    kept = evidence.Evidence()
+    run = evidence.Run(False, 0.0)
+    for server in ('a', 'b'):
+        for fingerprint in ('f', 'g'):
+            assert not kept.add((server, 1), fingerprint, run)
+    kept.clear_request('f')
+    assert kept.end(('a', 1), 1.0) == {'g': run}
+    assert kept.add(('a', 1), 'f', run._replace(at=2.0))
+    kept.clear_server(('b', 1))
+    assert kept.end(('b', 1), 1.0) == {}
+
+
 def test_an_entry_that_did_not_change_its_incarnation_ends_nothing():
     world = make_world()
     publish(world, 's0-0', sequence=7)
@@ -189,7 +203,7 @@
 
 
 def ignore_signs_of_life(patch):
-    patch.setattr(evidence.Evidence, 'clear_server', lambda *_: None)
+    patch.setattr(isolation.Isolation, 'record_reply', lambda *_: None)
 
 
 def ignore_answers(patch):
