Let the handover follow the window of the limit

Cause: the time until a node takes its share was fixed for a window of 10 s; a deployment with a longer one would have had shares that add up to more. Change: window x 1.1 and a second for gossip, from the settings.

--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -157,7 +157,11 @@
     """This node's view of the fleet."""
 
     def __init__(
-        self, own_record: NodeRecord, seeds: tuple[str, ...], rng: random.Random
+        self,
+        own_record: NodeRecord,
+        seeds: tuple[str, ...],
+        rng: random.Random,
+        limit_window_s: float = senders.DEFAULT_WINDOW_S,
     ):
         self.own_record = own_record
         self.members: dict[str, Member] = {}
@@ -167,7 +171,7 @@
         self._rng = rng
         self._ticks = 0
         self._last_tick: float | None = None
-        self._senders = senders.Senders(own_record.name)
+        self._senders = senders.Senders(own_record.name, limit_window_s)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replaces the seeds after the settings changed."""
--- a/packages/core/balsamshore_core/forwarding/senders.py
+++ b/packages/core/balsamshore_core/forwarding/senders.py
@@ -25,8 +25,9 @@
 INITIAL_SENDERS = 10  # assumed until a new process knows the other nodes
 MIN_SENDERS = 4  # a node that hears no other may be one of several such nodes
 STARTUP_S = 4.0  # covers discovery and the load that the start causes
-# The window of the limits, its granularity, and the time for gossip to spread.
-HANDOVER_S = 12.0
+DEFAULT_WINDOW_S = 10.0
+WINDOW_GRANULARITY = 1.1  # accounts keep a window and up to a tenth more
+GOSSIP_S = 1.0  # until all nodes know a change
 FLICKER_S = 2.0  # a shorter absence does not begin the handover anew
 SILENCE_RETENTION_S = 900.0  # partitions last for minutes
 RESERVED_SHARE = 0.1  # of a limit, for the nodes that are not counted
@@ -43,8 +44,15 @@
 class Senders:
     """This node's view of the nodes that send to backend servers."""
 
-    def __init__(self, own_name: str):
+    def __init__(self, own_name: str, window_s: float = DEFAULT_WINDOW_S):
+        """Creates the view of a new process.
+
+        Args:
+            own_name: Name of this node.
+            window_s: Window of the limits that are shared.
+        """
         self._own_name = own_name
+        self._handover_s = window_s * WINDOW_GRANULARITY + GOSSIP_S
         self._seen: dict[str, _Seen] = {}
         self._startup_ends_at: float | None = None
         self._count = INITIAL_SENDERS
@@ -79,7 +87,7 @@
         count = max(1, count)
         if count >= self._count or now >= self._decrease_at:
             self._count = count
-            self._decrease_at = now + HANDOVER_S
+            self._decrease_at = now + self._handover_s
 
     def count(self) -> int:
         """Returns how many nodes may send significant load to servers."""
@@ -88,7 +96,7 @@
     def find_share(self, now: float) -> float:
         """Returns the share of a limit that this node may use, 0 to 1."""
         since = self._counted_since
-        if since is None or now - since < HANDOVER_S:
+        if since is None or now - since < self._handover_s:
             return RESERVED_SHARE / max(self._nodes, MIN_SENDERS)
         return (1.0 - RESERVED_SHARE) / max(self._count, MIN_SENDERS)
 
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -133,6 +133,7 @@
             ),
             settings.seeds,
             rng,
+            settings.retry_budget_limits.window_s,
         )
         self.catalog = catalogs.Catalog(self.board, decoder)
         wait_for_peers = (
--- a/tests/forwarding/test_retrybudgets.py
+++ b/tests/forwarding/test_retrybudgets.py
@@ -9,6 +9,7 @@
 
 LIMITS = retrybudgets.Limits(0.2, 54.0, 10.0)
 NODES = 7
+HANDOVER_S = 12.0  # of `senders`, for a window of 10 s
 MAX_SPENT_AT_ONCE = 100  # so that an unbounded budget does not hang the test
 RATE = 93.0  # requests per second over all nodes
 
@@ -53,8 +54,8 @@
         successor = retrybudgets.RetryBudget(LIMITS, 34.7)
         # It is counted as a sender only after a while; see `senders`.
         reserved = senders.RESERVED_SHARE / NODES
-        spend_all(successor, spent, 34.8, 34.8 + senders.HANDOVER_S, reserved)
-        spend_all(successor, spent, 34.8 + senders.HANDOVER_S, 60.0, 1 / NODES)
+        spend_all(successor, spent, 34.8, 34.8 + HANDOVER_S, reserved)
+        spend_all(successor, spent, 34.8 + HANDOVER_S, 60.0, 1 / NODES)
     assert count_worst_window(spent) <= 0.2 * RATE * 10 + 54
 
 
--- a/tests/forwarding/test_senders.py
+++ b/tests/forwarding/test_senders.py
@@ -17,6 +17,7 @@
 
 LIMITS = retrybudgets.Limits(0.2, 54.0, 10.0)
 STEP_S = 0.5
+HANDOVER_S = 12.0  # a window, its granularity and gossip
 SILENCE_S = 3.0  # until a node that is not heard counts as dead
 EXTRA_PER_REQUEST = 4  # of a request that all servers reject
 SEEDS = {'n0', 'n1', 'n2'}
@@ -203,6 +204,16 @@
         assert share == (1.0 - senders.RESERVED_SHARE) / placement.MIN_ACTIVE
 
 
+def test_the_handover_follows_the_window_of_the_limit():
+    record = Node(0, START).make_record()
+    for window_s in (10.0, 60.0):
+        own = senders.Senders('n0', window_s)
+        for step in range(200):
+            own.update([record], 0, START + step * STEP_S)
+            whole = own.find_share(START + step * STEP_S) > 0.2
+            assert whole == (step * STEP_S >= window_s * 1.1 + 1.0)
+
+
 def test_a_node_that_leaves_is_not_counted_any_longer():
     fleet = Fleet()
     fleet.set_rates(spread(5.0))
@@ -214,7 +225,7 @@
     fleet.run(2.0)
     for node in fleet.nodes[4:]:
         node.up_at = float('inf')
-    fleet.run(2 * senders.HANDOVER_S + SILENCE_S)
+    fleet.run(2 * HANDOVER_S + SILENCE_S)
     assert fleet.nodes[0].senders.count() == 4
 
 
@@ -225,7 +236,7 @@
     fleet.nodes[6].up_at = float('inf')
     fleet.run(60.0)
     assert fleet.nodes[0].senders.count() == 7
-    fleet.run(senders.SILENCE_RETENTION_S + senders.HANDOVER_S)
+    fleet.run(senders.SILENCE_RETENTION_S + HANDOVER_S)
     assert fleet.nodes[0].senders.count() == 6
 
 
@@ -292,7 +303,8 @@
 
 
 def hand_over_at_once(patch):
-    patch.setattr(senders, 'HANDOVER_S', 0.0)
+    patch.setattr(senders, 'WINDOW_GRANULARITY', 0.0)
+    patch.setattr(senders, 'GOSSIP_S', 0.0)
 
 
 def count_on_nobody_at_the_start(patch):
