--- a/packages/core/balsamshore_core/forwarding/senders.py
+++ b/packages/core/balsamshore_core/forwarding/senders.py
@@ -31,6 +31,8 @@
 FLICKER_S = 2.0  # a shorter absence does not begin the handover anew
 SILENCE_RETENTION_S = 900.0  # partitions last for minutes
 RESERVED_SHARE = 0.1  # of a limit, for the nodes that are not counted
+# The same for new processes: what accounts leave unused of a limit covers it.
+STARTUP_SHARE = 0.2
 
 
 class _Seen(NamedTuple):
@@ -54,7 +56,7 @@
         self._own_name = own_name
         self._handover_s = window_s * WINDOW_GRANULARITY + GOSSIP_S
         self._seen: dict[str, _Seen] = {}
-        self._startup_ends_at: float | None = None
+        self._started_at = float('-inf')
         self._count = INITIAL_SENDERS
         self._nodes = INITIAL_SENDERS
         self._decrease_at = 0.0
@@ -76,11 +78,13 @@
         counted.update(record.name for record in records if record.active)
         self._update_own(counted, now)
         silent = self._update_silent(records, counted, now)
-        if self._startup_ends_at is None:
-            self._startup_ends_at = self._decrease_at = now + STARTUP_S
-        if now < self._startup_ends_at:
+        if self._started_at == float('-inf'):
+            self._started_at = now
+            self._decrease_at = now + STARTUP_S
+        age_s = now - self._started_at
+        if age_s < STARTUP_S:
             return
-        if now - self._startup_ends_at > SILENCE_RETENTION_S:
+        if age_s > SILENCE_RETENTION_S:
             unheard_seeds = 0
         self._nodes = len(records) + len(silent) + unheard_seeds
         count = len(counted) + _count_silent_senders(silent) + unheard_seeds
@@ -97,7 +101,10 @@
         """Returns the share of a limit that this node may use, 0 to 1."""
         since = self._counted_since
         if since is None or now - since < self._handover_s:
-            return RESERVED_SHARE / max(self._nodes, MIN_SENDERS)
+            reserved = RESERVED_SHARE
+            if now - self._started_at < self._handover_s:
+                reserved = STARTUP_SHARE
+            return reserved / max(self._nodes, MIN_SENDERS)
         return (1.0 - RESERVED_SHARE) / max(self._count, MIN_SENDERS)
 
     def _update_own(
