Let the emulator's watches end without a lock

A watch waited under asyncio.wait_for for a condition; a cancelled wait takes the condition's lock again, and its task, cancelled as well, may not give it back, so the others wait for ever. By reading; the lock was not observed. Change: an event that each change replaces; no lock.

--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import pathlib
@@ -93,7 +94,7 @@
         self.lines = {}
         self._listeners = []
         self._tasks = set()
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()  # replaced at each change
         self._next_request = 1
 
     # The store
@@ -130,8 +131,8 @@
 
     async def _publish(self, event):
         self.log.append(event)
-        async with self._changed:
-            self._changed.notify_all()
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     async def _answer_store(self, raw, peer):
         self.store_calls += 1
@@ -170,11 +171,9 @@
             remaining_s = deadline - asyncio.get_running_loop().time()
             if events or remaining_s <= 0:
                 return self._encode_json({'events': events})
-            async with self._changed:
-                try:
-                    await asyncio.wait_for(self._changed.wait(), remaining_s)
-                except TimeoutError:
-                    continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(remaining_s):
+                    await self._changed.wait()
 
     def _encode_json(self, fields):
         body = json.dumps({**fields, 'asOf': self.revision}).encode()
