Log how far each transfer between nodes has come

Cause: a failed fetch did not say how much it had received or when it began, so the record could not tell a shared link from a late announcement. Change: fetches and failed sends log bytes, size, duration, and how many are sent at once. No logic is changed.

--- a/packages/node/balsamshore_node/forwarding/gossip.py
+++ b/packages/node/balsamshore_node/forwarding/gossip.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import struct
+import time
 from typing import Any
 
 import loguru
@@ -171,6 +172,32 @@
     )
 
 
+class Progress:
+    """How far a transfer has come, for the log.
+
+    Attributes:
+        total_bytes: Size of the payload, 0 while unknown.
+        done_bytes: Bytes received, or handed to the kernel.
+    """
+
+    __slots__ = ('done_bytes', 'started_at', 'total_bytes')
+
+    def __init__(self, started_at: float):
+        self.started_at = started_at
+        self.total_bytes = 0
+        self.done_bytes = 0
+
+    def log(self, event: str, peer_host: str, message: str) -> None:
+        """Logs the end of the transfer."""
+        loguru.logger.bind(
+            event=event,
+            peer=peer_host,
+            bytes=self.done_bytes,
+            of_bytes=self.total_bytes,
+            took_ms=round((time.monotonic() - self.started_at) * 1000),
+        ).info('{}', message)
+
+
 class Gossip(asyncio.DatagramProtocol):
     """The node's datagram socket and stream listener for peers.
 
@@ -193,6 +220,7 @@
         self._stream_port = stream_port
         self._transport: asyncio.DatagramTransport | None = None
         self._fetching = False
+        self._sending = 0
         self.sent_bytes = 0
         self.received_bytes = 0
         self.malformed = 0
@@ -250,18 +278,27 @@
         if self._fetching:
             return None
         self._fetching = True
+        progress = Progress(time.monotonic())
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
-                return await self._request_changes(peer_host, revision)
+                payload = await self._request_changes(
+                    peer_host, revision, progress
+                )
+            progress.log('fetch', peer_host, 'fetched changes from a peer')
+            return payload
         except (OSError, EOFError, ValueError, TimeoutError) as error:
-            loguru.logger.info(
-                'fetching changes from peer {} failed: {!r}', peer_host, error
+            progress.log(
+                'fetch',
+                peer_host,
+                f'fetching changes from peer {peer_host} failed: {error!r}',
             )
             return None
         finally:
             self._fetching = False
 
-    async def _request_changes(self, peer_host: str, revision: int) -> Payload:
+    async def _request_changes(
+        self, peer_host: str, revision: int, progress: Progress
+    ) -> Payload:
         reader, writer = await asyncio.open_connection(
             peer_host, self._stream_port
         )
@@ -272,24 +309,45 @@
             (length,) = LENGTH.unpack(head)
             if length > MAX_RESPONSE_BYTES:
                 raise ValueError(f'response of {length} bytes is too large')
-            data = await reader.readexactly(length)
-            self.received_bytes += length
-            return decode_payload(data)
+            progress.total_bytes = length
+            data = bytearray()
+            while len(data) < length:
+                chunk = await reader.read(length - len(data))
+                if not chunk:
+                    raise EOFError(f'{len(data)} of {length} bytes received')
+                data += chunk
+                progress.done_bytes = len(data)
+                self.received_bytes += len(chunk)
+            return decode_payload(bytes(data))
         finally:
             writer.close()
 
     async def _send_changes(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        progress = Progress(time.monotonic())
+        peer_host = (writer.get_extra_info('peername') or ('',))[0]
+        self._sending += 1
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 head = await reader.readexactly(REVISION.size)
                 (revision,) = REVISION.unpack(head)
                 data = encode_payload(self._list_since(revision))
+                progress.total_bytes = len(data)
                 self.sent_bytes += len(data)
                 writer.write(LENGTH.pack(len(data)) + data)
                 await writer.drain()
         except (OSError, EOFError, ValueError, TimeoutError) as error:
-            loguru.logger.info('sending changes to a peer failed: {!r}', error)
+            progress.done_bytes = max(
+                0,
+                progress.total_bytes - writer.transport.get_write_buffer_size(),
+            )
+            progress.log(
+                'send',
+                peer_host,
+                f'sending changes to a peer failed: {error!r}, '
+                f'{self._sending} sent at once',
+            )
         finally:
+            self._sending -= 1
             writer.close()
