Serve large changes to few peers at once, and refer the others

What callers saw: a configuration acknowledged 5 s and more before was not in force; routes that it added were answered 404. Cause: all nodes of a failure domain fetched a change of 250 KB from the reader that announced it, at the same time; each transfer had 1.5 s in all, on both ends, and what had arrived by then was dropped. On 14 Mbit/s no transfer ended, and the attempts that could not end took the link from those that could. Evidence: 27 transfers at once, cut after 33%. Change: core.forwarding.transfers. A sender serves two peers at a time (slower than 1 s: more, at most eight) until the receiver has closed; others are refused at once and learn who has the changes by now. A receiver asks one peer, a second one if the first takes over 1 s, and backs off from refusals and failures.

--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -24,6 +24,7 @@
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import rumors
 from balsamshore_core.forwarding import servers
+from balsamshore_core.forwarding import transfers
 from balsamshore_node.forwarding import callers
 from balsamshore_node.forwarding import dialects
 from balsamshore_node.forwarding import errors
@@ -34,6 +35,7 @@
 from balsamshore_node.forwarding import pages
 from balsamshore_node.forwarding import settings as node_settings
 from balsamshore_node.forwarding import sockets
+from balsamshore_node.forwarding import transfers as peer_transfers
 from balsamshore_node.forwarding import upstream
 from balsamshore_node.forwarding import usage
 
@@ -154,7 +156,12 @@
         self._answer_count = 0
         self._rumors = rumors.Rumors(self.board.quarantine, self.fleet)
         self._usage = usage.Usage(now)
-        self._fetch_peer: str | None = None
+        self._fetches = transfers.Fetches(rng)
+        self._fetch_scopes: dict[str, anyio.CancelScope] = {}
+        self._fetch_timer: asyncio.TimerHandle | None = None
+        self._transfers = peer_transfers.Transfers(
+            self._list_since, lambda: self.catalog.revision, self.now, rng
+        )
         self._reads_store = False
         self._shutdown_started_at: float | None = None
         self._stopped = anyio.Event()
@@ -188,10 +195,7 @@
             actions.Answer: self._send_answer,
         }
         self._gossip = gossip.Gossip(
-            self._handle_payload,
-            self._list_since,
-            self.settings.gossip_port,
-            self.settings.stream_port,
+            self._handle_payload, self.settings.gossip_port
         )
         self._front = callers.Listener(self, routes.CallerLimits())
         self._page_listeners = [
@@ -199,6 +203,9 @@
             for page in self._pages
         ]
         await self._gossip.open(self.settings.host)
+        await self._transfers.open(
+            self.settings.host, self.settings.stream_port
+        )
         self._front_socket = self._listen(self.settings.front_address)
         self._accept_deadline = self.now() + MAX_ACCEPT_DELAY_S
         for listener, page in zip(
@@ -404,32 +411,73 @@
             self._apply_payload(payload, now)
             if self.catalog.revision > old_revision and not is_local:
                 self._disseminate(old_revision, relayed=True)
-        if (
-            payload.revision > self.catalog.revision
-            and self._fetch_peer is None
-        ):
-            self._fetch_peer = peer_host
+        if payload.revision > self.catalog.revision:
             delay_s = FETCH_DELAY_S if is_local else REMOTE_FETCH_DELAY_S
             if payload.relay:
                 delay_s = 0.0
-            self._loop.call_later(delay_s, self._start_fetch)
+            self._fetches.offer(
+                peer_host, payload.revision, is_local, now + delay_s
+            )
+            self._start_fetches()
 
-    def _start_fetch(self) -> None:
-        peer_host, self._fetch_peer = self._fetch_peer, None
-        if peer_host is not None:
+    def _start_fetches(self) -> None:
+        """Starts the fetches that are due and waits for the next one."""
+        now = self.now()
+        revision = self.catalog.revision
+        for peer_host in self._fetches.list_obsolete(revision):
+            if peer_host in self._fetch_scopes:
+                self._fetch_scopes[peer_host].cancel()
+        for peer_host in self._fetches.start(revision, now):
             self._tasks.start_soon(self._fetch_changes, peer_host)
+        due = self._fetches.find_due(now)
+        if self._fetch_timer is not None:
+            self._fetch_timer.cancel()
+            self._fetch_timer = None
+        if due is not None:
+            self._fetch_timer = self._loop.call_later(
+                due - now, self._start_fetches
+            )
 
     async def _fetch_changes(self, peer_host: str) -> None:
         old_revision = self.catalog.revision
-        payload = await self._gossip.fetch(peer_host, old_revision)
-        if payload is None:
-            return
-        self._apply_payload(payload, self.now())
+        payload = None
+        with anyio.CancelScope() as scope:
+            self._fetch_scopes[peer_host] = scope
+            try:
+                payload = await self._transfers.fetch(peer_host, old_revision)
+            except peer_transfers.RefusedError as refusal:
+                self._handle_refusal(peer_host, refusal)
+                return
+            finally:
+                del self._fetch_scopes[peer_host]
+        if payload is not None:
+            self._apply_payload(payload, self.now())
+        if self.catalog.revision > old_revision or scope.cancelled_caught:
+            self._fetches.complete(peer_host)
+        else:
+            self._fetches.fail(peer_host, self.now())
         if (
-            self.catalog.revision > old_revision
+            payload is not None
+            and self.catalog.revision > old_revision
             and not self.fleet.is_in_local_domain(peer_host)
         ):
             self._disseminate(old_revision, relayed=True)
+        self._start_fetches()
+
+    def _handle_refusal(
+        self, peer_host: str, refusal: peer_transfers.RefusedError
+    ) -> None:
+        now = self.now()
+        self._fetches.refuse(peer_host, now)
+        for holder in refusal.holders:
+            if holder.host != self.settings.host:
+                self._fetches.offer(
+                    holder.host,
+                    holder.revision,
+                    self.fleet.is_in_local_domain(holder.host),
+                    now,
+                )
+        self._start_fetches()
 
     def _apply_payload(self, payload: gossip.Payload, now: float) -> None:
         if payload.is_snapshot:
@@ -750,6 +798,7 @@
             'slack_share': self.board.slack_share,
             'requests_suspected': suspected,
             'requests_stopped': stopped,
+            'transfers_open': self._transfers.count_sends(),
             'log_lines_dropped': self._log.dropped,
         }
 
@@ -760,6 +809,9 @@
             'connections_opened': self._pool.opened,
             'gossip_sent_bytes': self._gossip.sent_bytes,
             'gossip_received_bytes': self._gossip.received_bytes,
+            'transfers_sent_bytes': self._transfers.sent_bytes,
+            'transfers_received_bytes': self._transfers.received_bytes,
+            'transfers_refused': self._transfers.refused,
         }
 
     def choose_addresses(self, failure_domain: str) -> tuple[str, ...]:
--- a/tests/adapter/partitions.py
+++ b/tests/adapter/partitions.py
@@ -12,6 +12,7 @@
 import sys
 
 from balsamshore_node.forwarding import gossip
+from balsamshore_node.forwarding import transfers
 from balsamshore_platform import core
 from balsamshore_platform import settings
 
@@ -37,7 +38,7 @@
     host = json.loads(config.read_text())['host']
     path = config.parent / FILE
     receive = gossip.Gossip.datagram_received
-    request = gossip.Gossip._request_changes
+    fetch = transfers.Transfers.fetch
 
     def is_cut(peer_host):
         groups = json.loads(path.read_text()) if path.exists() else {}
@@ -47,13 +48,13 @@
         if not is_cut(addr[0]):
             receive(self, data, addr)
 
-    async def request_from_group(self, peer_host, revision):
+    async def fetch_from_group(self, peer_host, revision):
         if is_cut(peer_host):
-            raise ConnectionResetError(f'{peer_host} is cut off')
-        return await request(self, peer_host, revision)
+            return None
+        return await fetch(self, peer_host, revision)
 
     gossip.Gossip.datagram_received = receive_from_group
-    gossip.Gossip._request_changes = request_from_group
+    transfers.Transfers.fetch = fetch_from_group
     return core.main([], dict(os.environ), sys.stderr)
 
 
