--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -52,9 +52,6 @@
 LEAVING_ACCEPT_S = 3.0  # a leaving node accepts new connections this long
 KILL_MARGIN_S = 0.5  # time to stop before the platform kills a leaving node
 NO_CONFIGURATION_RETRY_S = 0.4  # Retry-After before the first configuration
-# Added to a watch's wait for a slow reply; normal replies take 4 ms.
-WATCH_TIMEOUT_MARGIN_S = 0.8
-READ_ALL_TIMEOUT_S = 2.0  # time to read a few pages
 QUARANTINE_DECISIONS = {
     'crash': 'a backend server crashed under a request',
     'stopped': 'a request is not sent on: it crashes backend servers',
@@ -689,12 +686,10 @@
         was_ok = self.follower.store_ok
         try:
             if isinstance(call, followers.Watch):
-                with anyio.fail_after(call.wait_s + WATCH_TIMEOUT_MARGIN_S):
-                    reply = await self._store.watch(call.after, call.wait_s)
+                reply = await self._store.watch(call.after, call.wait_s)
             else:
-                with anyio.fail_after(READ_ALL_TIMEOUT_S):
-                    reply = await self._store.read_all()
-        except (errors.StoreError, TimeoutError) as error:
+                reply = await self._store.read_all()
+        except errors.StoreError as error:
             if was_ok:
                 loguru.logger.bind(event='lost').warning(
                     f'reading the store failed: {error!r}'
