Bound what a reply may take, in bytes and in memory

What could happen: a server that sends a head, a header line, interim replies, trailers or a body without end was read until its caller's deadline and all of it was kept; a node has 160 to 200 MB. Cause: ReplyReader had no limit (MAX_REPLY_HEAD_BYTES was not used), and what a dropped connection had read stayed in a reference cycle. Change: 64 KB of head, interim heads and trailers included, 16 interim replies, 16 MiB of body; all incomplete replies together 32 MiB, beyond which the largest is dropped; a closed connection frees what it had read.

--- a/packages/node/balsamshore_node/forwarding/messages.py
+++ b/packages/node/balsamshore_node/forwarding/messages.py
@@ -6,7 +6,10 @@
 
 from balsamshore_node.forwarding import dialects
 
-MAX_REPLY_HEAD_BYTES = 65_536  # a larger head from a server is an error
+MAX_REPLY_HEAD_BYTES = 65_536  # interim heads and trailers included
+MAX_REPLY_BODY_BYTES = 16_777_216
+MAX_INTERIM_REPLIES = 16  # before the final one
+HEADER_OVERHEAD_BYTES = 4  # colon, space and line end
 
 
 class MessageError(Exception):
@@ -14,9 +17,10 @@
 
 
 class ReplyReader:
-    """Reads one reply.
+    """Reads one reply, of bounded size.
 
     Attributes:
+        body_bytes: Size of the body so far.
         headers: Lower-case names and values.
         status: HTTP status, or 0 before the head is complete.
         keep_alive_s: The server's idle timeout, or 0 if it sent none.
@@ -28,8 +32,13 @@
 
     __slots__ = (
         '_chunks',
+        '_excess',
         '_framed',
+        '_head_bytes',
+        '_interim_replies',
         '_parser',
+        '_pending_bytes',
+        'body_bytes',
         'closing',
         'complete',
         'headers',
@@ -45,6 +54,11 @@
         )
         self._chunks: list[bytes] = []
         self._framed = False
+        self._excess = ''
+        self._head_bytes = 0
+        self._interim_replies = 0
+        self._pending_bytes = 0  # received since the parser reported anything
+        self.body_bytes = 0
         self.headers: dialects.Headers = []
         self.status = 0
         self.keep_alive_s = 0.0
@@ -57,24 +71,33 @@
         """Parses bytes from the connection.
 
         Raises:
-            MessageError: They are not an HTTP/1.1 response.
+            MessageError: They are not an HTTP/1.1 response or exceed a limit.
         """
         self.started = True
         if self.complete:
             self.has_trailing_bytes = True
             return
         assert self._parser is not None
+        self._pending_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self.complete:
                 raise MessageError(f'not an HTTP response: {error}') from error
             self.has_trailing_bytes = True
+        if not self.complete:
+            self._check_limits()
         if self.complete:
             # Breaks the reference cycle between parser and reader, which
             # would stay in memory until the next garbage collection.
             self._parser = None
 
+    def _check_limits(self) -> None:
+        if self._pending_bytes > MAX_REPLY_HEAD_BYTES:
+            self._excess = f'header line over {MAX_REPLY_HEAD_BYTES} bytes'
+        if self._excess:
+            raise MessageError(self._excess)
+
     def handle_eof(self) -> bool:
         """Handles the end of the stream.
 
@@ -92,6 +115,12 @@
         """Returns the body."""
         return b''.join(self._chunks)
 
+    def discard(self) -> None:
+        """Frees what was read of a reply that is not used."""
+        self._chunks.clear()
+        # Reader and parser refer to each other; see `feed`.
+        self._parser = None
+
     def on_message_begin(self) -> None:
         """Detects a second message in the same bytes; see `httptools`."""
         if self.complete:
@@ -101,6 +130,11 @@
         """Stores a header; see `httptools`."""
         if self.complete:
             return
+        self._pending_bytes = 0
+        self._head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        if self._head_bytes > MAX_REPLY_HEAD_BYTES:
+            self._excess = f'headers over {MAX_REPLY_HEAD_BYTES} bytes'
+            return
         lowered = name.lower()
         if lowered in (b'content-length', b'transfer-encoding'):
             self._framed = True
@@ -113,6 +147,7 @@
         if self.complete:
             return
         assert self._parser is not None
+        self._pending_bytes = 0
         self.status = self._parser.get_status_code()
         if self.status in (204, 304):
             self._framed = True
@@ -120,14 +155,23 @@
 
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body; see `httptools`."""
-        if not self.complete:
-            self._chunks.append(data)
+        if self.complete:
+            return
+        self._pending_bytes = 0
+        self.body_bytes += len(data)
+        if self.body_bytes > MAX_REPLY_BODY_BYTES:
+            self._excess = f'body over {MAX_REPLY_BODY_BYTES} bytes'
+            return
+        self._chunks.append(data)
 
     def on_message_complete(self) -> None:
         """Completes the reply unless it is interim; see `httptools`."""
         if self.complete:
             return
         if 100 <= self.status < 200:
+            self._interim_replies += 1
+            if self._interim_replies > MAX_INTERIM_REPLIES:
+                self._excess = f'over {MAX_INTERIM_REPLIES} interim replies'
             self.headers.clear()
             self._chunks.clear()
             self.status = 0
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -25,6 +25,7 @@
 CHECK_TIMEOUT_S = 0.05  # without an answer, nothing shows that a server crashed
 MAX_RESET_WAIT_S = 0.01  # longer would make an urgent request miss its target
 SWEEP_INTERVAL_S = 1.0  # between checks for connections idle too long
+MAX_HELD_BYTES = 33_554_432  # of all incomplete replies together
 
 OnReply = collections.abc.Callable[[int, actions.Reply], None]
 OnLoss = collections.abc.Callable[[int, bool, str], None]
@@ -41,6 +42,7 @@
         'closed',
         'entry',
         'expires_at',
+        'held_bytes',
         'idle_since',
         'payload',
         'request',
@@ -59,6 +61,7 @@
         self.closed = False
         self.idle_since = 0.0
         self.expires_at = 0.0
+        self.held_bytes = 0
 
     def send_request(
         self,
@@ -78,6 +81,10 @@
         """Closes the connection without reporting a loss."""
         self.attempt_id = 0
         self.closed = True
+        if self._reader is not None:
+            self._reader.discard()
+            self._reader = None
+        self._pool.hold(self, 0)
         if self.transport is not None:
             self.transport.abort()
 
@@ -95,11 +102,16 @@
             return
         try:
             reader.feed(data)
-        except messages.MessageError:
+        except messages.MessageError as error:
+            loguru.logger.bind(event='reply', server=self.entry.server_id).info(
+                'reply cannot be used: {}', error
+            )
             self._pool.drop(self, 'protocol')
             return
         if reader.complete:
             self._complete(reader)
+        else:
+            self._pool.hold(self, reader.body_bytes)
 
     def eof_received(self) -> bool:
         """Completes a reply without a length; see `asyncio`."""
@@ -119,6 +131,7 @@
 
     def _complete(self, reader: messages.ReplyReader) -> None:
         self._reader = None
+        self._pool.hold(self, 0)
         attempt_id, self.attempt_id = self.attempt_id, 0
         request, self.request = self.request, None
         assert request is not None
@@ -162,6 +175,7 @@
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._busy: dict[int, Connection] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._held_bytes = 0
 
     def send(
         self, action: actions.Send, request: dialects.CallerRequest
@@ -238,6 +252,18 @@
         if attempt_id and self._busy.pop(attempt_id, None) is not None:
             self._on_loss(attempt_id, connection.written, cause)
 
+    def hold(self, connection: Connection, held_bytes: int) -> None:
+        """Records the size of an incomplete reply.
+
+        When all together are too large, the largest is dropped: it is the most
+        likely never to end, and a smaller one is not lost to it.
+        """
+        self._held_bytes += held_bytes - connection.held_bytes
+        connection.held_bytes = held_bytes
+        if self._held_bytes > MAX_HELD_BYTES:
+            largest = max(self._busy.values(), key=lambda busy: busy.held_bytes)
+            self.drop(largest, 'oversized')
+
     def close_expired(self) -> None:
         """Closes connections that have been idle too long."""
         now = self._read_clock()
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -18,6 +18,7 @@
 import urllib.parse
 from typing import NamedTuple
 
+from adapter import endless
 from adapter import ledgers
 from adapter import listeners
 
@@ -59,7 +60,8 @@
             (executes the request, then resets the connection), `dark` (no
             reply), `late_extra` (a second response after the reply), `garbage`
             (not HTTP), `unframed` (no content length), `broken` (truncated
-            body), `slow` or `slower`.
+            body), `slow` or `slower`, or one of `endless.MANNERS`: bytes until
+            the caller closes.
         crashing_targets: Targets of requests that crash each server that
             executes them; the server is back after `crash_down_s` with a new
             `born`.
@@ -264,6 +266,8 @@
         fields = {'Server-Seal': seal, 'Request-Id': request_id}
         if mode == 'reset':
             return None
+        if mode in endless.MANNERS:
+            return endless.MANNERS[mode]
         if mode == 'garbage':
             return b'\x00\x01 not http at all\r\n\r\n'
         if mode == 'broken':
--- a/tests/adapter/listeners.py
+++ b/tests/adapter/listeners.py
@@ -83,6 +83,9 @@
         if payload is None:
             writer.transport.abort()
             return
+        if not isinstance(payload, bytes):
+            await payload(writer)
+            return
         writer.write(payload.removesuffix(CLOSE_MARKER))
         await writer.drain()
         if payload.endswith(CLOSE_MARKER):
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -27,6 +27,7 @@
 import tempfile
 
 from adapter import emulator
+from adapter import endless
 from adapter import ledgers
 from adapter import sabotage
 
@@ -36,7 +37,7 @@
 NODES = 4  # unless --nodes says otherwise
 # The modes are explained at `emulator.Emulator`.
 SERVER_MODES = ('ok', 'ok', 'full', 'reset', 'dark', 'late_extra', 'garbage',
-                'broken', 'unframed', 'slow')  # fmt: skip
+                'broken', 'unframed', 'slow', *endless.MANNERS)  # fmt: skip
 STORE_MODES = ('ok', 'ok', 'busy', 'reset', 'silent')
 MEAN_FAULT_PAUSE_S = 0.5  # the pause between two faults is random
 RECOVERY_S = 8.0
