--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -36,6 +36,7 @@
 GRACE_S = 6
 CRASH_DOWN_S = 0.6
 CRASH_MANNERS = ('closed', 'truncated', 'supervised', 'silent')
+IN_FORCE = re.compile(r'configuration (\d+) is in force')
 PROCESSING_S = {'slow': 0.4, 'slower': 2.5}  # by mode of the server
 
 
@@ -345,6 +346,17 @@
             json.loads(line) for line in text.splitlines() if line[:1] == '{'
         ]
 
+    def list_versions(self, name):
+        """Lists the configurations that a node put in force, by process."""
+        versions = []
+        for line in self.read_log(name):
+            if line.get('event') == 'start':
+                versions.append([])
+            for change in line.get('changes', [line['message']]):
+                if found := IN_FORCE.fullmatch(change):
+                    versions[-1].append(int(found[1]))
+        return versions
+
     async def is_ready(self, index):
         host = f'{self.network}.2.{index}'
         try:
--- a/tests/adapter/links.py
+++ b/tests/adapter/links.py
@@ -3,8 +3,9 @@
 Run as a program, it is the real program with its listener for peers moved
 behind a `Links` proxy, and with connections that come from the node's address:
 
-    python -m adapter.links
+    python -m adapter.links [FAULT]
 
+FAULT is one of `sabotage`.
 Only streams between nodes use the links, and those to the store if wanted.
 """
 
@@ -16,6 +17,7 @@
 import sys
 
 from adapter import emulator
+from adapter import sabotage
 
 from balsamshore_platform import core
 
@@ -127,6 +129,8 @@
 
 def run_linked_program():
     """Runs the program with its listener for peers behind the proxy."""
+    for fault in sys.argv[1:]:
+        sabotage.FAULTS[fault]()
     with open(os.environ['BALSAMSHORE_CONFIG']) as settings:
         own_host = json.load(settings)['host']
     start_server, open_connection = (
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -8,6 +8,8 @@
 or is reached through a proxy that delays, resets and stalls connections;
 servers fail in many ways, alone or all of a service, and two requests crash
 each server that runs them, in four manners, and are repeated at random nodes.
+Configurations, some of them large, travel between nodes over links that become
+slow or stand still.
 The test checks what callers and servers observed against the program's
 guarantees and the bounds on attempts. On violations it prints their seeds and
 exits with status 1.
@@ -29,6 +31,7 @@
 from adapter import emulator
 from adapter import endless
 from adapter import ledgers
+from adapter import links
 from adapter import sabotage
 
 from balsamshore_node.forwarding import messages
@@ -45,6 +48,8 @@
 REFUSAL_STATUSES = (429, 503)
 CRASHING_TARGETS = ('/p/crash', '/q/crash')
 CRASH_REPEAT_S = 0.3
+EXTRA_ROUTES = (0, 0, 1_400)  # of a new configuration
+LINK_BYTES_PER_S = (50_000, 250_000, 1_750_000)
 
 
 class Caller:
@@ -137,8 +142,7 @@
         self.rng = random.Random(seed)
         self.nodes = nodes
         self.platform = emulator.Emulator(folder, f'127.{100 + seed % 100}')
-        if fault:
-            self.platform.program = ('-m', 'adapter.sabotage', fault)
+        self.fault = fault
         self.ended = False
         self.violations = []
         self.refused = set()
@@ -150,6 +154,10 @@
     async def run(self, seconds):
         platform = self.platform
         await platform.start()
+        self.links = links.Links(platform)
+        await self.links.open(self.nodes)
+        if self.fault:
+            platform.program = ('-m', 'adapter.links', self.fault)
         store = f'{platform.network}.0.1:{emulator.STORE_PORT}'
         self.proxy = proxy.FaultProxy(
             f'{platform.network}.0.2:{emulator.STORE_PORT}', store
@@ -183,13 +191,15 @@
             for name in tuple(platform.processes):
                 platform.send_signal(name, signal.SIGCONT)
             await platform.stop()
+            self.links.close()
 
     async def inject_faults(self, seconds):
         """Injects random faults, which may overlap."""
         faults = (self.fail_server, self.fail_server, self.fail_store,
                   self.fail_service, self.change_crash_manner,
                   self.disrupt_store_connection, self.change_configuration,
-                  self.signal_node, self.signal_node)  # fmt: skip
+                  self.change_link, self.signal_node,
+                  self.signal_node)  # fmt: skip
         for _ in range(round(seconds / MEAN_FAULT_PAUSE_S)):
             await self.rng.choice(faults)()
             await asyncio.sleep(MEAN_FAULT_PAUSE_S * self.rng.random() * 2)
@@ -224,7 +234,19 @@
 
     async def change_configuration(self):
         self.version += self.rng.randint(1, 3)
-        await self.platform.put('op/config', emulator.make_table(self.version))
+        names = [
+            f'{self.rng.getrandbits(64):016x}'
+            for _ in range(self.rng.choice(EXTRA_ROUTES))
+        ]
+        await self.platform.put(
+            'op/config', emulator.make_table(self.version, extra=names)
+        )
+
+    async def change_link(self):
+        index = self.rng.randint(1, self.nodes)
+        host = f'{self.platform.network}.2.{index}'
+        self.links.limits[host] = self.rng.choice(LINK_BYTES_PER_S)
+        self.links.frozen = {host} if self.rng.random() < 0.3 else set()
 
     async def signal_node(self):
         index = self.rng.randint(1, self.nodes)
@@ -247,6 +269,8 @@
         platform.store_mode = 'ok'
         platform.server_modes.update(dict.fromkeys(platform.server_modes, 'ok'))
         self.proxy.apply(proxy.Rule())
+        self.links.limits = {}
+        self.links.frozen = set()
         for index in range(1, self.nodes + 1):
             name = f'n{index}'
             self.record_signal(index)
@@ -262,6 +286,17 @@
             response = await platform.send_request(index, '/q/x')
             if response.status != 200 or 'missing-parts' in response.headers:
                 self.violations.append(f'node {index} does not recover')
+            self.check_versions(index)
+
+    def check_versions(self, index):
+        """Checks that no version goes back and the newest one is in force."""
+        processes = self.platform.list_versions(f'n{index}')
+        if any(versions != sorted(versions) for versions in processes):
+            self.violations.append(f'node {index} went back: {processes}')
+        if processes[-1][-1:] != [self.version]:
+            self.violations.append(
+                f'node {index} has {processes[-1]}, not {self.version}'
+            )
 
     def record_signal(self, index):
         self.signals.append((index, asyncio.get_running_loop().time()))
--- a/tests/adapter/test_endless.py
+++ b/tests/adapter/test_endless.py
@@ -57,7 +57,7 @@
     tmp_path, manner
 ):
     number = list(endless.MANNERS).index(manner)
-    async with start_platform(tmp_path, f'127.{130 + number}') as platform:
+    async with start_platform(tmp_path, f'127.{230 + number}') as platform:
         before_kb = read_peak_kb(platform.processes['n1'])
         for service in 'abc':
             platform.server_modes[f'{service}0'] = manner
@@ -81,7 +81,7 @@
 @pytest.mark.parametrize('manner', endless.MANNERS)
 async def test_memory_is_bounded_when_all_servers_never_end(tmp_path, manner):
     number = list(endless.MANNERS).index(manner)
-    async with start_platform(tmp_path, f'127.{140 + number}') as platform:
+    async with start_platform(tmp_path, f'127.{240 + number}') as platform:
         before_kb = read_peak_kb(platform.processes['n1'])
         for name in platform.server_modes:
             platform.server_modes[name] = manner
@@ -125,11 +125,11 @@
         async def answer(raw, peer, manner=manner):
             return endless.MANNERS[manner]
 
-        listening = listeners.Listening(f'127.150.0.{number + 1}', 8229, answer)
+        listening = listeners.Listening(f'127.250.0.{number + 1}', 8229, answer)
         await listening.open()
         with pytest.raises(errors.StoreError):
             await asyncio.wait_for(
-                store.Store(f'127.150.0.{number + 1}:8229').watch(1, 0.5), 10.0
+                store.Store(f'127.250.0.{number + 1}:8229').watch(1, 0.5), 10.0
             )
         listening.close()
 
@@ -142,11 +142,11 @@
     async def answer(raw, peer):
         return pause
 
-    listening = listeners.Listening('127.150.1.1', 8229, answer)
+    listening = listeners.Listening('127.250.1.1', 8229, answer)
     await listening.open()
     with pytest.raises(errors.StoreError):
         await asyncio.wait_for(
-            store.Store('127.150.1.1:8229').watch(1, 0.5), 5.0
+            store.Store('127.250.1.1:8229').watch(1, 0.5), 5.0
         )
     listening.close()
 
@@ -165,10 +165,10 @@
     async def answer(raw, peer):
         return send_slowly
 
-    listening = listeners.Listening('127.150.1.2', 8229, answer)
+    listening = listeners.Listening('127.250.1.2', 8229, answer)
     await listening.open()
     reply = await asyncio.wait_for(
-        store.Store('127.150.1.2:8229').watch(1, 0.5), 10.0
+        store.Store('127.250.1.2:8229').watch(1, 0.5), 10.0
     )
     assert reply.as_of == 7
     listening.close()
--- a/tests/adapter/test_links.py
+++ b/tests/adapter/test_links.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import re
 
 import pytest
 from adapter import emulator
@@ -14,7 +13,6 @@
 APPLY_S = 5.0  # a configuration is in force at each node after this
 LINK_BYTES_PER_S = 250_000
 ROUTES = 1_400
-IN_FORCE = re.compile(r'configuration (\d+) is in force')
 
 
 @pytest.fixture
@@ -60,10 +58,9 @@
     have = set()
     while loop.time() < deadline and len(have) < nodes:
         for index in set(range(1, nodes + 1)) - have:
-            for line in platform.read_log(f'n{index}'):
-                found = IN_FORCE.fullmatch(line['message'])
-                if found and int(found[1]) >= version:
-                    have.add(index)
+            (versions,) = platform.list_versions(f'n{index}')
+            if versions and versions[-1] >= version:
+                have.add(index)
         await asyncio.sleep(0.05)
     return have
 
@@ -72,7 +69,7 @@
     tmp_path,
 ):
     nodes = 10
-    async with start_platform(tmp_path, '127.120', nodes) as platform:
+    async with start_platform(tmp_path, '127.220', nodes) as platform:
         await platform.put('op/config', make_large_table(2))
         have = await wait_for_version(platform, 2, nodes, APPLY_S)
         assert have == set(range(1, nodes + 1))
@@ -82,7 +79,7 @@
     tmp_path,
 ):
     nodes = 10
-    async with start_platform(tmp_path, '127.121', nodes) as platform:
+    async with start_platform(tmp_path, '127.221', nodes) as platform:
         for version in range(2, 8):
             await platform.put('op/config', make_large_table(version))
             await asyncio.sleep(0.33)
@@ -91,7 +88,7 @@
 
 
 async def test_a_reader_on_a_small_link_reads_a_large_configuration(tmp_path):
-    async with start_platform(tmp_path, '127.122', 2, True) as platform:
+    async with start_platform(tmp_path, '127.222', 2, True) as platform:
         await platform.put('op/config', make_large_table(2, 2 * ROUTES))
         have = await wait_for_version(platform, 2, 2, 2 * APPLY_S)
         assert have == {1, 2}
