Bound the transfers of documents between nodes of our own interface

Change: at most two requests, the second after 1 s; a transfer is given up after 1.5 s without progress; a document over 16 KB is sent to two peers at a time, with the decisions of the operators' side (transfers.Sends).

--- a/packages/node/balsamshore_node/peers.py
+++ b/packages/node/balsamshore_node/peers.py
@@ -7,6 +7,8 @@
 """
 
 import collections
+import contextlib
+import random
 import struct
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +19,7 @@
 
 from balsamshore_core import actions
 from balsamshore_core import events
+from balsamshore_core.forwarding import transfers
 from balsamshore_node import errors
 from balsamshore_node import runtime as node_runtime
 from balsamshore_node import telemetry
@@ -25,7 +28,11 @@
 from balsamshore_wire import keys
 
 CONNECT_TIMEOUT_S = 1.0
-FETCH_TIMEOUT_S = 2.0
+STALL_TIMEOUT_S = 1.5  # of a document, without progress
+MAX_FETCH_S = 20.0
+MAX_FETCHES = 2  # documents at once, from different peers
+SLOW_FETCH_S = 1.0  # a fetch that takes longer is joined by a second one
+SMALL_DOCUMENT_BYTES = 16_384  # sent at once, however many peers are served
 READ_TIMEOUT_S = 5.0
 FORWARD_MARGIN_S = 0.25
 MAX_STREAMS = 256
@@ -56,6 +63,8 @@
         self._host, self._port = host, int(port)
         self._udp: anyio.abc.UDPSocket | None = None
         self._streams = 0
+        self._sends = transfers.Sends(random.Random(address))
+        self._fetches_started_at: dict[str, float] = {}
         self._outbox: collections.deque[tuple[bytes, str]] = collections.deque(
             maxlen=MAX_QUEUED_DATAGRAMS
         )
@@ -88,7 +97,20 @@
         self._outbox_filled.set()
 
     def fetch_configuration(self, action: actions.FetchConfiguration) -> None:
-        """Requests the configuration document in force at a peer."""
+        """Requests the configuration document in force at a peer.
+
+        A request is dropped while enough others are open; a later datagram of
+        a peer leads to the next one.
+        """
+        now = anyio.current_time()
+        open_fetches = self._fetches_started_at
+        if open_fetches and (
+            action.peer_address in open_fetches
+            or len(open_fetches) >= MAX_FETCHES
+            or now - max(open_fetches.values()) < SLOW_FETCH_S
+        ):
+            return
+        open_fetches[action.peer_address] = now
         self._tasks.start_soon(self._fetch_configuration, action.peer_address)
 
     def forward(self, action: actions.ForwardQuery) -> None:
@@ -141,7 +163,10 @@
                 with anyio.fail_after(READ_TIMEOUT_S):
                     frame = await self._read_frame(stream)
                 answer = await FRAME_HANDLERS[type(frame)](self, frame)
-                await self._write_frame(stream, answer)
+                if isinstance(answer, codec.ConfigurationDocument):
+                    await self._send_document(stream, answer)
+                else:
+                    await self._write_frame(stream, answer)
             except (errors.PeerError, OSError, KeyError, TimeoutError):
                 self._runtime.metrics.count('peers.bad_streams')
             except (anyio.BrokenResourceError, anyio.EndOfStream):
@@ -149,6 +174,28 @@
             finally:
                 self._streams -= 1
 
+    async def _send_document(
+        self,
+        stream: anyio.abc.SocketStream,
+        answer: codec.ConfigurationDocument,
+    ) -> None:
+        """Sends a document unless too many peers are being served."""
+        if len(answer.document) <= SMALL_DOCUMENT_BYTES:
+            await self._write_frame(stream, answer)
+            return
+        send_id = self._sends.start(anyio.current_time())
+        if send_id is None:
+            self._runtime.metrics.count('peers.refused_documents')
+            return
+        try:
+            with anyio.fail_after(MAX_FETCH_S):
+                await self._write_frame(stream, answer)
+                # The receiver closes when it has everything.
+                with contextlib.suppress(anyio.EndOfStream):
+                    await stream.receive(1)
+        finally:
+            self._sends.finish(send_id, None)
+
     async def _handle_configuration_request(
         self, frame: codec.ConfigurationRequest
     ) -> codec.Frame:
@@ -178,17 +225,19 @@
 
     async def _fetch_configuration(self, peer_address: str) -> None:
         try:
-            with anyio.fail_after(FETCH_TIMEOUT_S):
+            with anyio.fail_after(MAX_FETCH_S):
                 frame = await self._request(
-                    peer_address, codec.ConfigurationRequest()
+                    peer_address, codec.ConfigurationRequest(), STALL_TIMEOUT_S
                 )
         except (errors.PeerError, TimeoutError) as error:
             loguru.logger.debug(
-                'cannot fetch configuration from peer {}: {}',
+                'cannot fetch configuration from peer {}: {!r}',
                 peer_address,
                 error,
             )
             return
+        finally:
+            del self._fetches_started_at[peer_address]
         if isinstance(frame, codec.ConfigurationDocument) and frame.document:
             self._runtime.dispatch(
                 events.ConfigurationRead(frame.document, 'peer')
@@ -224,8 +273,23 @@
         self._runtime.deliver_answer(answer)
 
     async def _request(
-        self, peer_address: str, frame: codec.Frame
+        self,
+        peer_address: str,
+        frame: codec.Frame,
+        stall_s: float | None = None,
     ) -> codec.Frame:
+        """Sends a frame to a peer and reads its answer.
+
+        Args:
+            peer_address: Address of the peer.
+            frame: The frame to send.
+            stall_s: How long the answer may make no progress; None without
+                a limit.
+
+        Raises:
+            errors.PeerError: The peer cannot be reached or answers badly.
+            TimeoutError: The answer made no progress.
+        """
         try:
             host, port = peer_address.rsplit(':', 1)
             with anyio.fail_after(CONNECT_TIMEOUT_S):
@@ -234,7 +298,7 @@
                 )
             async with stream:
                 await self._write_frame(stream, frame)
-                return await self._read_frame(stream)
+                return await self._read_frame(stream, stall_s)
         except PEER_FAILURES as error:
             raise errors.PeerError(f'{peer_address}: {error!r}') from error
 
@@ -244,13 +308,15 @@
         payload = keys.sign(self._ring, codec.encode_frame(frame))
         await stream.send(LENGTH_PREFIX.pack(len(payload)) + payload)
 
-    async def _read_frame(self, stream: anyio.abc.SocketStream) -> codec.Frame:
+    async def _read_frame(
+        self, stream: anyio.abc.SocketStream, stall_s: float | None = None
+    ) -> codec.Frame:
         (length,) = LENGTH_PREFIX.unpack(
-            await _read_exactly(stream, LENGTH_PREFIX.size)
+            await _read_exactly(stream, LENGTH_PREFIX.size, stall_s)
         )
         if not keys.MAC_BYTES <= length <= codec.MAX_FRAME_BYTES:
             raise errors.PeerError(f'invalid frame length: {length} bytes')
-        signed = await _read_exactly(stream, length)
+        signed = await _read_exactly(stream, length, stall_s)
         try:
             payload = keys.verify(self._ring, signed)
         except wire_errors.AuthenticationError as error:
@@ -263,10 +329,13 @@
         return result.ok
 
 
-async def _read_exactly(stream: anyio.abc.SocketStream, size: int) -> bytes:
+async def _read_exactly(
+    stream: anyio.abc.SocketStream, size: int, stall_s: float | None
+) -> bytes:
     buffer = bytearray()
     while len(buffer) < size:
-        buffer += await stream.receive(size - len(buffer))
+        with anyio.fail_after(stall_s):
+            buffer += await stream.receive(size - len(buffer))
     return bytes(buffer)
 
 
