Refer only to hosts at which a node listens

Cause: a sender remembered the address that its receiver connected from. On a VM with several addresses, or behind another one, nobody listens there; on loopback it was 127.0.0.1. Refused peers were sent to it and failed. Change: only hosts of known nodes are remembered. Result: test_a_busy_node_refuses_and_names_the_members_that_it_served; the case without members would have named 127.0.0.1.

--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -254,6 +254,12 @@
         """
         return self._build_dissemination(now, 0 if relayed else RELAYS)
 
+    def has_host(self, host: str) -> bool:
+        """Returns whether a known node is at a host."""
+        return any(
+            member.record.host == host for member in self.members.values()
+        )
+
     def is_in_local_domain(self, host: str) -> bool:
         """Returns whether a known node at a host is in this failure domain."""
         return any(
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -157,7 +157,11 @@
         self._fetch_scopes: dict[str, anyio.CancelScope] = {}
         self._fetch_timer: asyncio.TimerHandle | None = None
         self._transfers = peer_transfers.Transfers(
-            self._list_since, lambda: self.catalog.revision, self.now, rng
+            self._list_since,
+            lambda: self.catalog.revision,
+            self.fleet.has_host,
+            self.now,
+            rng,
         )
         self._reads_store = False
         self._shutdown_started_at: float | None = None
--- a/packages/node/balsamshore_node/forwarding/transfers.py
+++ b/packages/node/balsamshore_node/forwarding/transfers.py
@@ -84,6 +84,7 @@
         self,
         list_since: collections.abc.Callable[[int], gossip.Payload],
         read_revision: collections.abc.Callable[[], int],
+        is_member: collections.abc.Callable[[str], bool],
         read_clock: collections.abc.Callable[[], float],
         rng: random.Random,
     ):
@@ -92,11 +93,14 @@
         Args:
             list_since: Lists the changes after a revision.
             read_revision: Returns this node's revision.
+            is_member: Returns whether nodes can reach a peer at a host. A peer
+                may connect from another address than it listens at.
             read_clock: Returns monotonic seconds.
             rng: Source of random choices.
         """
         self._list_since = list_since
         self._read_revision = read_revision
+        self._is_member = is_member
         self._read_clock = read_clock
         self._sends = transfers.Sends(rng)
         self._responses: dict[tuple[int, int], bytes] = {}
@@ -222,7 +226,8 @@
         receiver = None
         try:
             await self._send(body, reader, writer, progress)
-            receiver = transfers.Holder(peer_host, revision)
+            if self._is_member(peer_host):
+                receiver = transfers.Holder(peer_host, revision)
         finally:
             self._sends.finish(send_id, receiver)
 
--- a/tests/forwarding/test_transfers.py
+++ b/tests/forwarding/test_transfers.py
@@ -268,10 +268,11 @@
 ITEM = catalog.Item('op/config', 7, random.Random(1).randbytes(100_000))
 
 
-def make_transfers(items=(ITEM,)):
+def make_transfers(items=(ITEM,), members=('127.0.0.1',)):
     return peer_transfers.Transfers(
         lambda since: gossip.Payload((), items, False, since, 7),
         lambda: 7,
+        members.__contains__,
         asyncio.get_running_loop().time,
         random.Random(1),
     )
@@ -331,31 +332,33 @@
     assert list(run(fetch()).items) == [ITEM]
 
 
-def test_a_busy_node_refuses_and_names_the_nodes_that_it_served():
+@pytest.mark.parametrize('members', [(), ('127.0.0.1',)])
+def test_a_busy_node_refuses_and_names_the_members_that_it_served(members):
     async def fetch():
-        node = make_transfers()
+        node = make_transfers(members=members)
         await node.open('127.31.0.5', 7951)
         assert await node.fetch('127.31.0.5', 3) is not None
         await asyncio.sleep(0.05)
         writers = []
         for _ in range(transfers.SLOTS):
-            _, writer = await asyncio.open_connection(
-                '127.31.0.5', 7951, limit=1024
-            )
+            _, writer = await asyncio.open_connection('127.31.0.5', 7951)
             writer.write(
                 peer_transfers.REVISION.pack(3 | peer_transfers.COMPACT)
             )
             writers.append(writer)
         await asyncio.sleep(0.1)
-        small = make_transfers((ITEM._replace(value=b'small'),))
-        small._port = 7951
-        with pytest.raises(peer_transfers.RefusedError) as refusal:
-            await small.fetch('127.31.0.5', 3)
         assert node.count_sends() == transfers.SLOTS
+        reader, writer = await asyncio.open_connection(
+            '127.31.0.5', 7951, local_addr=('127.31.0.9', 0)
+        )
+        writer.write(peer_transfers.REVISION.pack(3 | peer_transfers.COMPACT))
+        (length,) = peer_transfers.LENGTH.unpack(await reader.readexactly(4))
+        body = await reader.readexactly(length)
+        with pytest.raises(peer_transfers.RefusedError) as refusal:
+            peer_transfers._decode_body(body)
         return refusal.value.holders
 
-    # The receiver of the first transfer has the sender's own address here.
-    assert run(fetch()) == []
+    assert run(fetch()) == [transfers.Holder(host, 7) for host in members]
 
 
 @pytest.mark.parametrize('manner', ['silent', 'endless', 'garbage', 'short'])
