Read all items when the changes are too large to read

Cause, by reading: a reader that missed more changes than a reply may hold (16 MiB; twelve configurations of 1 MiB) failed with the same watch until the store had dropped that history. Change: such a watch is followed by one listing after the usual backoff. Result: test_changes_too_large_to_read_lead_to_one_listing_after_a_backoff.

--- a/packages/core/balsamshore_core/forwarding/follower.py
+++ b/packages/core/balsamshore_core/forwarding/follower.py
@@ -145,6 +145,11 @@
         self._failures += 1
         self._due_at = now + wait_s * (0.5 + self._rng.random())
 
+    def handle_oversized_changes(self, now: float) -> None:
+        """Handles changes too large to read; reads all items next."""
+        self.handle_failure(now)
+        self._history_lost = True
+
     def _is_reader(self, rank: int, peer_read_age_s: float, now: float) -> bool:
         if self._catalog.revision == 0 and now - self._started_at > JOIN_WAIT_S:
             return True
--- a/packages/node/balsamshore_node/forwarding/errors.py
+++ b/packages/node/balsamshore_node/forwarding/errors.py
@@ -3,3 +3,7 @@
 
 class StoreError(Exception):
     """The operators' store returned no usable response."""
+
+
+class ResponseTooLargeError(StoreError):
+    """The response exceeds the limit of a reply."""
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -698,7 +698,10 @@
                 loguru.logger.bind(event='lost').warning(
                     f'reading the store failed: {error!r}'
                 )
-            self.follower.handle_failure(self.now())
+            if isinstance(error, errors.ResponseTooLargeError):
+                self.follower.handle_oversized_changes(self.now())
+            else:
+                self.follower.handle_failure(self.now())
             return
         now = self.now()
         if not was_ok:
--- a/packages/node/balsamshore_node/forwarding/messages.py
+++ b/packages/node/balsamshore_node/forwarding/messages.py
@@ -16,6 +16,10 @@
     """Bytes that are not an HTTP/1.1 message."""
 
 
+class TooLargeError(MessageError):
+    """A message that exceeds a limit."""
+
+
 class ReplyReader:
     """Reads one reply, of bounded size.
 
@@ -71,7 +75,8 @@
         """Parses bytes from the connection.
 
         Raises:
-            MessageError: They are not an HTTP/1.1 response or exceed a limit.
+            MessageError: They are not an HTTP/1.1 response.
+            TooLargeError: The response exceeds a limit.
         """
         self.started = True
         if self.complete:
@@ -96,7 +101,7 @@
         if self._pending_bytes > MAX_REPLY_HEAD_BYTES:
             self._excess = f'header line over {MAX_REPLY_HEAD_BYTES} bytes'
         if self._excess:
-            raise MessageError(self._excess)
+            raise TooLargeError(self._excess)
 
     def handle_eof(self) -> bool:
         """Handles the end of the stream.
--- a/tests/adapter/test_endless.py
+++ b/tests/adapter/test_endless.py
@@ -134,6 +134,17 @@
         listening.close()
 
 
+async def test_changes_that_are_too_large_to_read_are_told_apart():
+    async def answer(raw, peer):
+        return endless.MANNERS['endless_body']
+
+    listening = listeners.Listening('127.250.1.3', 8229, answer)
+    await listening.open()
+    with pytest.raises(errors.ResponseTooLargeError):
+        await store.Store('127.250.1.3:8229').watch(1, 0.5)
+    listening.close()
+
+
 async def test_a_store_that_pauses_within_a_response_is_an_error():
     async def pause(writer):
         writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{')
--- /dev/null
+++ b/tests/forwarding/test_follower.py
@@ -0,0 +1,41 @@
+"""Tests of a reader whose changes are too large to read."""
+
+import random
+
+from forwarding import worlds
+
+from balsamshore_core.forwarding import board as boards
+from balsamshore_core.forwarding import catalog as catalogs
+from balsamshore_core.forwarding import follower as followers
+
+
+def test_changes_too_large_to_read_lead_to_one_listing_after_a_backoff():
+    follower = make_follower()
+    assert isinstance(follower.tick(0, 0.0, False, 0.0), followers.ReadAll)
+    follower.handle_snapshot([], 5, 0.0)
+    assert isinstance(follower.tick(0, 0.0, False, 0.1), followers.Watch)
+    follower.handle_oversized_changes(0.2)
+    assert follower.tick(0, 0.0, False, 0.21) is None
+    now = 0.2 + 2 * followers.INITIAL_BACKOFF_S
+    assert isinstance(follower.tick(0, 0.0, False, now), followers.ReadAll)
+    follower.handle_snapshot([], 40, now)
+    call = follower.tick(0, 0.0, False, now + 0.1)
+    assert call == followers.Watch(40, followers.WATCH_S)
+
+
+def test_changes_that_stay_too_large_are_not_requested_without_pause():
+    follower = make_follower()
+    follower.tick(0, 0.0, False, 0.0)
+    follower.handle_snapshot([], 5, 0.0)
+    calls = 0
+    for step in range(1000):
+        if follower.tick(0, 0.0, False, step / 100) is not None:
+            calls += 1
+            follower.handle_oversized_changes(step / 100)
+    assert calls <= 12
+
+
+def make_follower():
+    rng = random.Random(1)
+    board = boards.Board('z1', rng, worlds.LIMITS)
+    return followers.Follower(catalogs.Catalog(board, None), rng, 0.0)
