--- a/tests/adapter/test_endless.py
+++ b/tests/adapter/test_endless.py
@@ -8,6 +8,7 @@
 import pytest
 from adapter import emulator
 from adapter import endless
+from adapter import ledgers
 from adapter import listeners
 
 from balsamshore_node.forwarding import errors
@@ -20,6 +21,7 @@
 DEADLINE_S = 1.5
 DEADLINE = {'Deadline-Ms': str(int(DEADLINE_S * 1000))}
 MARGIN_S = 0.5
+EXTRA_RATIO = 2.0  # enough to retry every request
 LONG_BODY_BYTES = 8_000_000
 
 
@@ -36,6 +38,7 @@
 @contextlib.asynccontextmanager
 async def start_platform(tmp_path, network):
     platform = emulator.Emulator(tmp_path, network)
+    platform.ledger.bounds = ledgers.Bounds(extra_ratio=EXTRA_RATIO)
     await platform.start()
     try:
         for number, service in enumerate('abc'):
@@ -71,9 +74,11 @@
             assert loop.time() - started_at < DEADLINE_S + MARGIN_S
             statuses.append(answer.status)
             await asyncio.sleep(0.1)
-        # Until the node knows of the servers, a request may use up its time.
-        assert set(statuses) <= {200, 502, 504}
-        assert statuses[10:] == [200] * 10
+        if manner.startswith('drip'):
+            # Until the node knows of the servers, a request may time out.
+            assert set(statuses[:10]) <= {200, 504}
+            del statuses[:10]
+        assert statuses == [200] * len(statuses)
         grown_kb = read_peak_kb(platform.processes['n1']) - before_kb
         assert grown_kb < MAX_GROWTH_KB
 
