--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -117,6 +117,11 @@
     text += f' after {line.get("took_ms")} ms'
     if explanation:
         text += f': {explanation}'
+    if line.get('caller'):
+        text += (
+            f'; {line.get("method")} {line.get("host")}{line.get("path")} '
+            f'from {line["caller"]}'
+        )
     if line.get('fingerprint'):
         text += f'; fingerprint {line["fingerprint"]}'
     if line.get('retry_after_s'):
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -63,6 +63,18 @@
     assert 'f2' not in output
 
 
+def test_who_sent_an_answered_request_is_explained(tmp_path):
+    log = tmp_path / 'n1.log'
+    sender = {
+        'caller': '10.9.0.4', 'method': 'GET', 'host': 'x.example',
+        'path': '/p/7',
+    }  # fmt: skip
+    log.write_text(json.dumps({**ANSWER, **sender}) + '\n')
+    env = environment.Environment({}, io.StringIO(), io.StringIO())
+    assert core.main(['explain', 'r7', str(log)], env) == 0
+    assert '; GET x.example/p/7 from 10.9.0.4' in env.stdout.getvalue()
+
+
 def test_decisions_about_a_crashing_request_are_explained(tmp_path):
     log = tmp_path / 'n1.log'
     decision = {
