--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -379,8 +379,9 @@
     # Callers
 
     async def send_request(
-        self, index, target, method='GET', body=b'', **headers
+        self, index, target, method='GET', body=b'', caller=None, **headers
     ):
+        """Sends a request to a node, from the address of a caller if given."""
         request_id = f'r{self._next_request}'
         self._next_request += 1
         fields = {'Host': HOST, 'Request-Id': request_id,
@@ -389,8 +390,9 @@
             request_id, target, float(fields['Deadline-Ms']) / 1000, index
         )
         return await self.send_http_request(
-            f'{self.network}.2.{index}', 8226, method, target, body, fields
-        )
+            f'{self.network}.2.{index}', 8226, method, target, body, fields,
+            caller,
+        )  # fmt: skip
 
     def record_sent(self, request_id, target, deadline_s, index):
         now = asyncio.get_running_loop().time()
@@ -414,10 +416,12 @@
                 await asyncio.sleep(0.005)
 
     async def send_http_request(
-        self, host, port, method, target, body=b'', fields=None
+        self, host, port, method, target, body=b'', fields=None, caller=None
     ):
         fields = fields or {'Host': host}
-        reader, writer = await asyncio.open_connection(host, port)
+        reader, writer = await asyncio.open_connection(
+            host, port, local_addr=(caller, 0) if caller else None
+        )
         try:
             lines = ''.join(f'{n}: {v}\r\n' for n, v in fields.items())
             if body:
@@ -447,8 +451,14 @@
         return listening
 
 
-def make_table(version, shards=('a', 'b', 'c'), plain='a', extra=()):
-    """Returns a configuration: /q/ scattered, /p/ plain, /n/ not idempotent."""
+def make_table(version, shards=('a', 'b', 'c'), plain='a', extra=(), split=()):
+    """Returns a configuration: /q/ scattered, /p/ plain, /n/ not idempotent.
+
+    With `split`, /p/ and /n/ are divided evenly among these services.
+    """
+    target = {'service': plain}
+    if split:
+        target = {'split': [{'service': name, 'weight': 1} for name in split]}
     common = {
         'host': HOST, 'timeoutMs': 3000, 'goalMs': 300, 'priority': 1,
         'maxAttempts': 2,
@@ -460,9 +470,9 @@
     routes = [
         gather,
         {**common, 'name': 'p', 'prefix': '/p/', 'kind': 'idempotent',
-         'service': plain},
+         **target},
         {**common, 'name': 'n', 'prefix': '/n/', 'kind': 'non_idempotent',
-         'service': plain},
+         **target},
         *({**common, 'name': name, 'prefix': f'/{name}/',
            'kind': 'idempotent', 'service': plain} for name in extra),
     ]  # fmt: skip
--- a/tests/adapter/sabotage.py
+++ b/tests/adapter/sabotage.py
@@ -10,8 +10,10 @@
 
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import exchanges
+from balsamshore_core.forwarding import fingerprints
 from balsamshore_core.forwarding import quarantine
 from balsamshore_core.forwarding import retrybudgets
+from balsamshore_core.forwarding import routes
 from balsamshore_node.forwarding import host
 from balsamshore_platform import core
 from balsamshore_platform import headers
@@ -98,7 +100,63 @@
     headers.Headers.encode_attempt = encode_longer
 
 
+def make_fingerprint_fault(find):
+    """Returns a fault: fingerprints depend on what differs between repeats.
+
+    Args:
+        find: Returns it, given the node, the connection and the raw request.
+    """
+
+    def distinguish_repeats():
+        handle = host.Host.handle_request
+        compute = fingerprints.compute_fingerprint
+        found = []
+
+        def handle_and_note(self, connection, raw):
+            found[:] = [str(find(self, connection, raw))]
+            handle(self, connection, raw)
+
+        def compute_with_difference(*arguments):
+            return f'{compute(*arguments)}-{found[0]}'[:200]
+
+        host.Host.handle_request = handle_and_note
+        fingerprints.compute_fingerprint = compute_with_difference
+
+    return distinguish_repeats
+
+
+def find_service(node, connection, raw):
+    del connection
+    request = node._dialect.read_request(
+        raw.method, raw.target, raw.headers, b''
+    )
+    route = routes.find_route(node.board.table, request.host, request.target)
+    return node.board.splitter.choose(route)
+
+
+FINGERPRINT_FAULTS = {
+    'address': lambda node, connection, raw: connection.caller,
+    'connection': lambda node, connection, raw: id(connection),
+    'headers': lambda node, connection, raw: [
+        value
+        for name, value in raw.headers
+        if name in (b'user-agent', b'traceparent')
+    ],
+    'framing': lambda node, connection, raw: [
+        name for name, _ in raw.headers if name == b'content-length'
+    ],
+    'host': lambda node, connection, raw: dict(raw.headers)[b'host'],
+    'pauses': lambda node, connection, raw: int(node.now()),
+    'service': find_service,
+    'split': find_service,
+    'version': lambda node, connection, raw: node.board.table.version,
+}
+
 FAULTS = {
+    **{
+        f'fingerprint-{name}': make_fingerprint_fault(find)
+        for name, find in FINGERPRINT_FAULTS.items()
+    },
     'attempts': allow_any_number_of_attempts,
     'deadlines': extend_deadlines,
     'extra': allow_any_extra_attempts,
--- a/tests/adapter/test_quarantine.py
+++ b/tests/adapter/test_quarantine.py
@@ -4,11 +4,13 @@
 import signal
 
 import pytest
+from adapter import repeats
 from adapter import test_program
 
 pytestmark = pytest.mark.anyio
 
 NODES = 3
+MAX_CRASHES = 3  # of repeats that come one after another
 
 
 @pytest.fixture
@@ -52,6 +54,42 @@
         assert not platform.ledger.check_crashing(target)
 
 
+async def run_repeats(tmp_path, differences, program=None, seconds=5.0):
+    """Repeats a crashing request; returns the breaches of its bounds."""
+    async with test_program.start_platform(
+        tmp_path, NODES, program=program
+    ) as platform:
+        platform.crashing_targets.add(repeats.TARGET)
+        nodes = range(1, NODES + 1)
+        await repeats.Repeater(platform, nodes, differences).run(seconds)
+        breaches = platform.ledger.check_crashing(repeats.TARGET)
+        if len(platform.crashes) > MAX_CRASHES:
+            breaches.append(f'{len(platform.crashes)} servers crashed')
+        assert platform.crashes
+        return breaches
+
+
+@pytest.mark.parametrize('difference', repeats.DIFFERENCES)
+async def test_a_crashing_request_is_stopped_whatever_differs_in_its_repeats(
+    tmp_path, difference
+):
+    assert not await run_repeats(tmp_path, [difference])
+
+
+async def test_a_crashing_request_is_stopped_if_all_differs_in_its_repeats(
+    tmp_path,
+):
+    assert not await run_repeats(tmp_path, repeats.DIFFERENCES, seconds=10.0)
+
+
+@pytest.mark.parametrize('difference', repeats.DIFFERENCES)
+async def test_fingerprints_that_depend_on_a_difference_are_noticed(
+    tmp_path, difference
+):
+    program = ('-m', 'adapter.sabotage', f'fingerprint-{difference}')
+    assert await run_repeats(tmp_path, [difference], program, 4.0)
+
+
 async def test_innocent_requests_are_served_beside_a_crashing_one(tmp_path):
     async with test_program.start_platform(tmp_path, NODES) as platform:
         platform.crashing_targets.add('/p/crash')
