--- a/tests/forwarding/test_messages.py
+++ b/tests/forwarding/test_messages.py
@@ -74,6 +74,8 @@
 
 
 @hypothesis.settings(deadline=None, derandomize=True)
+@hypothesis.example(b'\r')
+@hypothesis.example(b'\r\n')
 @hypothesis.given(st.binary(min_size=1, max_size=60))
 def test_what_follows_a_reply_belongs_to_no_request(surplus):
     reader = messages.ReplyReader()
