Let the soak's callers connect from several addresses

The soak had sent every repeat from one address, so it could not see the fault of the incident. Each connection now comes from one of eight, chosen apart from the faults, which stay those of the seed.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -8,6 +8,7 @@
 or is reached through a proxy that delays, resets and stalls connections;
 servers fail in many ways, alone or all of a service, and two requests crash
 each server that runs them, in four manners, and are repeated at random nodes.
+Callers connect from several addresses, each time from another one.
 Configurations, some of them large, travel between nodes over links that become
 slow or stand still.
 The test checks what callers and servers observed against the program's
@@ -48,6 +49,7 @@
 REFUSAL_STATUSES = (429, 503)
 CRASHING_TARGETS = ('/p/crash', '/q/crash')
 CRASH_REPEAT_S = 0.3
+CALLER_ADDRESSES = 8
 EXTRA_ROUTES = (0, 0, 1_400)  # of a new configuration
 LINK_BYTES_PER_S = (50_000, 250_000, 1_750_000)
 
@@ -71,7 +73,10 @@
     async def _use_connection(self):
         host = f'{self.soak.platform.network}.2.{self.index}'
         reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(host, 8226), 1.0
+            asyncio.open_connection(
+                host, 8226, local_addr=(self.soak.choose_caller(), 0)
+            ),
+            1.0,
         )
         try:
             while not self.soak.ended:
@@ -120,7 +125,10 @@
             target = self.rng.choice(CRASHING_TARGETS)
             try:
                 response = await asyncio.wait_for(
-                    platform.send_request(index, target), 4.0
+                    platform.send_request(
+                        index, target, caller=self.soak.choose_caller()
+                    ),
+                    4.0,
                 )
                 if response.status in REFUSAL_STATUSES:
                     self.soak.refused.add(response.request_id)
@@ -140,6 +148,8 @@
 
     def __init__(self, seed, folder, fault='', nodes=NODES):
         self.rng = random.Random(seed)
+        # Connections come in no fixed order; the faults must not depend on it.
+        self.caller_rng = random.Random(seed)
         self.nodes = nodes
         self.platform = emulator.Emulator(folder, f'127.{100 + seed % 100}')
         self.fault = fault
@@ -193,6 +203,11 @@
             await platform.stop()
             self.links.close()
 
+    def choose_caller(self):
+        """Returns the address from which a caller connects."""
+        number = self.caller_rng.randint(1, CALLER_ADDRESSES)
+        return f'{self.platform.network}.3.{number}'
+
     async def inject_faults(self, seconds):
         """Injects random faults, which may overlap."""
         faults = (self.fail_server, self.fail_server, self.fail_store,
