List that a plain success without a seal reaches the caller

A server that ends within a body without a length, and had sent no seal, completes its reply by closing.

--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -60,9 +60,10 @@
         server_modes: Server id to `ok`, `full` (refuses requests), `reset`
             (executes the request, then resets the connection), `dark` (no
             reply), `late_extra` (a second response after the reply), `garbage`
-            (not HTTP), `unframed` (no content length), `broken` (truncated
-            body), `slow` or `slower`, or one of `endless.MANNERS`: bytes until
-            the caller closes.
+            (not HTTP), `unframed` (no content length), `unsealed` (a complete
+            success without a seal), `broken` (truncated body), `slow` or
+            `slower`, or one of `endless.MANNERS`: bytes until the caller
+            closes.
         crashing_targets: Targets of requests that crash each server that
             executes them; the server is back after `crash_down_s` with a new
             `born`.
@@ -271,6 +272,8 @@
             return endless.MANNERS[mode]
         if mode == 'garbage':
             return b'\x00\x01 not http at all\r\n\r\n'
+        if mode == 'unsealed':
+            return listeners.encode(200, payload, {'Request-Id': request_id})
         if mode == 'broken':
             return (
                 listeners.encode(200, payload, fields)[:-20]
--- a/tests/adapter/test_program.py
+++ b/tests/adapter/test_program.py
@@ -102,6 +102,15 @@
                     )
 
 
+async def test_a_success_without_a_seal_is_not_passed_on(tmp_path):
+    async with start_platform(tmp_path) as platform:
+        for name in ('a0', 'a1'):
+            platform.server_modes[name] = 'unsealed'
+        for target, method in (('/p/x', 'GET'), ('/n/x', 'POST')):
+            response = await platform.send_request(1, target, method)
+            assert response.status >= 500
+
+
 async def test_requests_are_answered_when_connections_become_half_open(
     tmp_path,
 ):
