Keep the fault proxy running when a client breaks off within a reply

Cause: an error of one stream left its task inside a task group, where it arrives as a group of exceptions that `except` does not match. It ended the whole proxy.

Change: errors of a stream end that stream only; the proxy closes its listener.

--- a/packages/standins/balsamshore_standins/proxy.py
+++ b/packages/standins/balsamshore_standins/proxy.py
@@ -14,6 +14,11 @@
 
 RECEIVE_BYTES = 65_536
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+STREAM_ERRORS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 
 class Rule(NamedTuple):
@@ -68,7 +73,7 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port
         )
-        async with anyio.create_task_group() as tasks:
+        async with listener, anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, self._serve_stream)
             tasks.start_soon(self._serve_datagrams, tasks)
 
@@ -91,8 +96,6 @@
                     )
                     await self._relay_stream(server, client, client, sender)
                     tasks.cancel_scope.cancel()
-            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-                return
             finally:
                 self._streams.discard(client)
                 self._silent_streams.discard(client)
@@ -104,15 +107,17 @@
         client: anyio.abc.SocketStream,
         sender: str,
     ) -> None:
-        while True:
-            try:
+        # Errors must not leave this task: they would end the whole proxy.
+        with contextlib.suppress(*STREAM_ERRORS):
+            while True:
                 chunk = await source.receive(RECEIVE_BYTES)
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                return
-            if client in self._silent_streams or sender in self._rule.blocked:
-                continue
-            await anyio.sleep(self._rule.delay_s)
-            await sink.send(chunk)
+                if (
+                    client in self._silent_streams
+                    or sender in self._rule.blocked
+                ):
+                    continue
+                await anyio.sleep(self._rule.delay_s)
+                await sink.send(chunk)
 
     async def _serve_datagrams(self, tasks: anyio.abc.TaskGroup) -> None:
         host, port = self._listen
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -25,6 +25,7 @@
 import asyncio
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -194,6 +195,8 @@
             await self.recover()
             self.ended = True
             await asyncio.wait(callers, timeout=5.0)
+            if proxy_task.done():
+                self.violations.append(f'the proxy ended: {proxy_task!r}')
             self.check_ledger()
             self.check_bounds()
         finally:
@@ -385,11 +388,23 @@
         )
 
 
-def run_seed(seed, seconds, fault='', nodes=NODES):
-    """Runs one seed; returns the violations and the number of answers."""
+def run_seed(seed, seconds, fault='', nodes=NODES, logs=None):
+    """Runs one seed; returns the violations and the number of answers.
+
+    Args:
+        seed: The seed.
+        seconds: How long faults are injected.
+        fault: A deliberate fault, or ''.
+        nodes: Number of nodes.
+        logs: Folder to which the logs of a run with violations are copied.
+    """
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, pathlib.Path(folder), fault, nodes)
         asyncio.run(soak.run(seconds))
+        if soak.violations and logs:
+            shutil.copytree(
+                folder, pathlib.Path(logs) / f'seed{seed}', dirs_exist_ok=True
+            )
         return soak.violations, soak.answers
 
 
@@ -398,13 +413,18 @@
     parser.add_argument('--seeds', default='1-3')
     parser.add_argument('--seconds', type=float, default=12.0)
     parser.add_argument('--nodes', type=int, default=NODES)
+    parser.add_argument('--logs', help='keep the logs of failed seeds here')
     parser.add_argument('--fault', default='', choices=['', *sabotage.FAULTS])
     options = parser.parse_args()
     first, _, last = options.seeds.partition('-')
     failed = []
     for seed in range(int(first), int(last or first) + 1):
         violations, answers = run_seed(
-            seed, options.seconds, options.fault, options.nodes
+            seed,
+            options.seconds,
+            options.fault,
+            options.nodes,
+            options.logs,
         )
         print(
             f'seed {seed}: {answers} answers, {violations or "no violations"}'
