Date a read of the store by the beginning of its reply

CONFIG: callers were handled by an old configuration for more than 5 s at nodes that nothing disturbed. Cause: a read counted as made when its reply was complete. A reader on a slow link completes a reply of seconds ago; all other nodes took it for a fresh read, stopped reading and looked again 2.6 s later. Class: an observation dated by its arrival.

Nodes on fast links now go on reading while the readers are slow.

--- a/packages/core/balsamshore_core/forwarding/follower.py
+++ b/packages/core/balsamshore_core/forwarding/follower.py
@@ -101,21 +101,43 @@
         return Watch(self._as_of, WATCH_S)
 
     def handle_snapshot(
-        self, items: list[catalogs.Item], as_of: int, now: float
+        self,
+        items: list[catalogs.Item],
+        as_of: int,
+        now: float,
+        age_s: float = 0.0,
     ) -> list[str]:
-        """Handles a complete snapshot of the store."""
+        """Handles a complete snapshot of the store.
+
+        Args:
+            items: All items.
+            as_of: The store's revision when it began to reply.
+            now: Monotonic seconds.
+            age_s: Seconds since the store began to reply.
+        """
         changes = self._catalog.replace(
             items, as_of, self._is_outage_recent(now), now
         )
         self._history_lost = False
-        self._record_success(as_of, now)
+        self._record_success(as_of, now - age_s)
         self._due_at = now
         return changes
 
     def handle_changes(
-        self, items: list[catalogs.Item], as_of: int, now: float
+        self,
+        items: list[catalogs.Item],
+        as_of: int,
+        now: float,
+        age_s: float = 0.0,
     ) -> list[str]:
-        """Handles the changes that a watch returned."""
+        """Handles the changes that a watch returned.
+
+        Args:
+            items: The changes.
+            as_of: The store's revision when it began to reply.
+            now: Monotonic seconds.
+            age_s: Seconds since the store began to reply.
+        """
         retained = self._is_outage_recent(now)
         changes = self._catalog.apply(
             [
@@ -126,7 +148,7 @@
             max((item.revision for item in items), default=0),
             now,
         )
-        self._record_success(max(as_of, self._as_of), now)
+        self._record_success(max(as_of, self._as_of), now - age_s)
         self._due_at = now + (BATCH_PAUSE_S if items else 0.0)
         return changes
 
@@ -168,9 +190,9 @@
     def _is_outage_recent(self, now: float) -> bool:
         return now - self._outage_at < OUTAGE_WINDOW_S
 
-    def _record_success(self, as_of: int, now: float) -> None:
+    def _record_success(self, as_of: int, checked_at: float) -> None:
         self.state = 'pausing'
         self._as_of = as_of
         self._failures = 0
         self.store_ok = True
-        self.checked_at = now
+        self.checked_at = max(self.checked_at, checked_at)
--- a/packages/node/balsamshore_node/forwarding/dialects.py
+++ b/packages/node/balsamshore_node/forwarding/dialects.py
@@ -74,12 +74,14 @@
 
     Attributes:
         items: The items, including removals.
-        as_of: The store's revision.
+        as_of: The store's revision when the reply began.
+        age_s: Seconds since then; a reply may take long over a slow link.
         history_lost: Whether the store no longer has the requested history.
     """
 
     items: list[catalog.Item]
     as_of: int
+    age_s: float = 0.0
     history_lost: bool = False
 
 
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -726,11 +726,11 @@
             return
         if isinstance(call, followers.Watch):
             changes = self.follower.handle_changes(
-                reply.items, reply.as_of, now
+                reply.items, reply.as_of, now, reply.age_s
             )
         else:
             changes = self.follower.handle_snapshot(
-                reply.items, reply.as_of, now
+                reply.items, reply.as_of, now, reply.age_s
             )
         self._handle_changes(changes, 'store')
         self._disseminate(old_revision, relayed=False)
--- a/tests/forwarding/dissemination.py
+++ b/tests/forwarding/dissemination.py
@@ -224,11 +224,11 @@
         if not items:
             self._waiting.append((node, after))
             return
-        as_of = self.items[-1].revision
+        as_of, began_at = self.items[-1].revision, self.now
         self._transfers.append(
             Transfer(
                 None, node, len(items) * self.document_bytes,
-                lambda: self._read(node, items, as_of),
+                lambda: self._read(node, items, as_of, began_at),
                 lambda: self._fail_read(node),
             )
         )  # fmt: skip
@@ -236,11 +236,13 @@
     def _end_watch(self, node, after, checked_at):
         if (node, after) in self._waiting:
             self._waiting.remove((node, after))
-            self._read(node, [], after)
+            self._read(node, [], after, self.now)
 
-    def _read(self, node, items, as_of):
+    def _read(self, node, items, as_of, began_at):
         old_revision = node.catalog.revision
-        node.follower.handle_changes(items, as_of, self.now)
+        node.follower.handle_changes(
+            items, as_of, self.now, self.now - began_at
+        )
         self._note(node)
         self._disseminate(node, old_revision, False)
 
--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -35,6 +35,25 @@
     assert calls <= 12
 
 
+def test_a_read_is_as_old_as_the_beginning_of_its_reply():
+    follower = make_follower()
+    follower.tick(0, 0.0, False, 0.0)
+    follower.handle_snapshot([], 5, 4.0, age_s=3.0)
+    assert follower.checked_at == 1.0
+    follower.tick(0, 0.0, False, 4.0)
+    follower.handle_changes([], 5, 9.0, age_s=0.5)
+    assert follower.checked_at == 8.5
+
+
+def test_a_late_reply_does_not_make_an_earlier_read_older():
+    follower = make_follower()
+    follower.tick(0, 0.0, False, 0.0)
+    follower.handle_snapshot([], 5, 4.0)
+    follower.tick(0, 0.0, False, 4.0)
+    follower.handle_changes([], 5, 9.0, age_s=8.0)
+    assert follower.checked_at == 4.0
+
+
 def make_follower():
     rng = random.Random(1)
     board = boards.Board('z1', rng, worlds.LIMITS)
