Fetch changes from a node whose relayed record states them

CONFIG: callers were handled by an old configuration for more than 5 s. Cause: a relay passes the reader's record on at once, but a receiver looked only at the relay's own revision. While the relays were slow to fetch, their whole failure domain waited for a datagram that happened to come from another one.

Change: every record of a message offers its node as a source, after the usual delays, which move to core.forwarding.transfers.

--- a/packages/core/balsamshore_core/forwarding/transfers.py
+++ b/packages/core/balsamshore_core/forwarding/transfers.py
@@ -10,6 +10,8 @@
 import random
 from typing import NamedTuple
 
+FETCH_DELAY_S = 0.12  # a datagram with the missing changes may still arrive
+REMOTE_FETCH_DELAY_S = 0.6  # a node in this domain may soon have the changes
 SLOTS = 2  # transfers that share the link of the sender
 SLOT_S = 1.0  # a transfer that takes longer no longer occupies a slot
 MAX_SENDS = 8  # bounds the transfers that take longer
@@ -30,6 +32,15 @@
     revision: int
 
 
+def find_delay(is_local: bool) -> float:
+    """Returns how long to wait before a change is fetched from a node.
+
+    Args:
+        is_local: Whether the node is in this node's failure domain.
+    """
+    return FETCH_DELAY_S if is_local else REMOTE_FETCH_DELAY_S
+
+
 class Sends:
     """Transfers from this node to peers."""
 
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -45,8 +45,6 @@
 TICKS_PER_USAGE_SAMPLE = 10
 TICKS_PER_RELOAD = 20  # settings may change without a signal
 NEWS_DELAY_S = 0.005  # servers often crash together
-FETCH_DELAY_S = 0.12  # a datagram with the missing changes may still arrive
-REMOTE_FETCH_DELAY_S = 0.6  # a node in this domain may soon have the changes
 MAX_ACCEPT_DELAY_S = 0.3  # callers wait this long for the first configuration
 MAX_CHANGE_LINES = 8  # more changes at once share one log line
 MAX_LOGGED_PATH = 120  # characters; without the query, which may be private
@@ -413,18 +411,37 @@
         if payload.notices:
             self._perform(self.exchanges.apply_notices(payload.notices, now))
         old_revision = self.catalog.revision
-        is_local = self.fleet.is_in_local_domain(peer_host)
         if payload.items:
             self._apply_payload(payload, now)
-            if self.catalog.revision > old_revision and not is_local:
+            if (
+                self.catalog.revision > old_revision
+                and not self.fleet.is_in_local_domain(peer_host)
+            ):
                 self._disseminate(old_revision, relayed=True)
-        if payload.revision > self.catalog.revision:
-            delay_s = FETCH_DELAY_S if is_local else REMOTE_FETCH_DELAY_S
-            if payload.relay:
-                delay_s = 0.0
-            self._fetches.offer(
-                peer_host, payload.revision, is_local, now + delay_s
-            )
+        self._offer_holders(peer_host, payload, now)
+
+    def _offer_holders(
+        self, peer_host: str, payload: gossip.Payload, now: float
+    ) -> None:
+        """Offers the sender and the nodes of its records as sources."""
+        holders = [
+            transfers.Holder(peer_host, payload.revision),
+            *(
+                transfers.Holder(record.host, record.revision)
+                for record in payload.records
+            ),
+        ]
+        newer = [
+            holder
+            for holder in holders
+            if holder.revision > self.catalog.revision
+            and holder.host != self.settings.host
+        ]
+        for holder in newer:
+            is_local = self.fleet.is_in_local_domain(holder.host)
+            delay_s = 0.0 if payload.relay else transfers.find_delay(is_local)
+            self._fetches.offer(*holder, is_local, now + delay_s)
+        if newer:
             self._start_fetches()
 
     def _start_fetches(self) -> None:
--- a/tests/forwarding/dissemination.py
+++ b/tests/forwarding/dissemination.py
@@ -4,6 +4,7 @@
 nodes know each other; what they believe of each other comes from messages.
 """
 
+import copy
 import heapq
 import random
 
@@ -80,17 +81,28 @@
 
 
 class Message:
-    """A node's record, and items if they are small."""
+    """A node's record, sent by it or relayed by another node.
 
-    def __init__(self, node, now, since=0, items=(), relay=False):
-        self.sender = node.name
-        self.revision = node.catalog.revision
+    Attributes:
+        sender: Name of the node that sends the message.
+        sender_revision: Its revision.
+        name: Name in the record; so are the other attributes.
+    """
+
+    def __init__(self, node, relay=False):
+        self.sender = self.name = node.name
+        self.sender_revision = self.revision = node.catalog.revision
         self.checked_at = node.follower.checked_at
         self.store_ok = node.follower.store_ok
-        self.since = since
-        self.items = items
         self.relay = relay
 
+    def list_holders(self):
+        """Lists the nodes of which the message states a revision."""
+        return [
+            transfers.Holder(self.sender, self.sender_revision),
+            transfers.Holder(self.name, self.revision),
+        ]
+
 
 class Transfer:
     """Bytes on their way to a node from another or from the store."""
@@ -239,12 +251,11 @@
             self._read(node, [], after, self.now)
 
     def _read(self, node, items, as_of, began_at):
-        old_revision = node.catalog.revision
         node.follower.handle_changes(
             items, as_of, self.now, self.now - began_at
         )
         self._note(node)
-        self._disseminate(node, old_revision, False)
+        self._disseminate(node, False)
 
     def _fail_read(self, node):
         node.follower.handle_failure(self.now)
@@ -257,9 +268,9 @@
         recipients = node.rng.sample(local, min(fleets.FANOUT, len(local)))
         if node.rng.random() < fleets.CROSS_DOMAIN_SENDERS / (len(local) + 1):
             recipients.append(node.rng.choice(self.ranked))
-        self._send(node, recipients, Message(node, self.now))
+        self._send(node, recipients, Message(node))
 
-    def _disseminate(self, node, old_revision, relayed):
+    def _disseminate(self, node, relayed):
         recipients = [n for n in self._by_domain[node.domain] if n is not node]
         if not relayed:
             for domain, members in self._by_domain.items():
@@ -267,40 +278,38 @@
                     recipients += node.rng.sample(
                         members, min(fleets.RELAYS, len(members))
                     )
-        message = Message(node, self.now, old_revision, relay=not relayed)
-        self._send(node, recipients, message)
+        self._send(node, recipients, Message(node, relay=not relayed))
 
     def _send(self, node, recipients, message):
         for other in recipients:
             if self.rng.random() >= self.loss:
-                self._at(
-                    self.now + DATAGRAM_S, self._receive, other, node, message
-                )
+                self._at(self.now + DATAGRAM_S, self._receive, other, message)
 
-    def _receive(self, node, source, message):
-        checked_at = node.checked_at.get(message.sender, -1e9)
-        node.checked_at[message.sender] = max(checked_at, message.checked_at)
+    def _receive(self, node, message):
+        name = message.name
+        checked_at = node.checked_at.get(name, -1e9)
+        node.checked_at[name] = max(checked_at, message.checked_at)
         if message.store_ok:
-            node.failing.pop(message.sender, None)
+            node.failing.pop(name, None)
         else:
-            node.failing[message.sender] = True
-        is_local = source.domain == node.domain
-        if message.relay and not is_local:
-            relayed = Message(source, self.now)
-            relayed.revision = node.catalog.revision
-            relayed.checked_at = message.checked_at
+            node.failing[name] = True
+        if message.relay and self.nodes[name].domain != node.domain:
+            relayed = copy.copy(message)
+            relayed.sender = node.name
+            relayed.sender_revision = node.catalog.revision
+            relayed.relay = False
             local = [n for n in self._by_domain[node.domain] if n is not node]
             self._send(node, local, relayed)
-        if message.revision > node.catalog.revision:
-            delay_s = hosts.FETCH_DELAY_S
-            if not is_local:
-                delay_s = hosts.REMOTE_FETCH_DELAY_S
-            if message.relay:
+        for holder in message.list_holders():
+            if holder.revision > node.catalog.revision:
                 delay_s = 0.0
-            node.fetches.offer(
-                source.name, message.revision, is_local, self.now + delay_s
-            )
-            self._start_fetches(node)
+                is_local = self.nodes[holder.host].domain == node.domain
+                if not message.relay:
+                    delay_s = transfers.find_delay(is_local)
+                node.fetches.offer(
+                    *holder, is_local, self.now + delay_s
+                )  # fmt: skip
+        self._start_fetches(node)
 
     # Transfers
 
@@ -362,7 +371,7 @@
             receiver.fetches.complete(sender.name)
             self._note(receiver)
             if sender.domain != receiver.domain:
-                self._disseminate(receiver, old_revision, True)
+                self._disseminate(receiver, True)
         else:
             receiver.fetches.fail(sender.name, self.now)
         self._start_fetches(receiver)
--- /dev/null
+++ b/tests/forwarding/test_host.py
@@ -0,0 +1,45 @@
+"""What a node makes of messages about other nodes."""
+
+from forwarding import test_catalog
+from forwarding import worlds
+
+from balsamshore_core.forwarding import fleet
+from balsamshore_core.forwarding import transfers
+from balsamshore_node.forwarding import gossip
+from balsamshore_node.forwarding import host
+from balsamshore_node.forwarding import settings
+
+SETTINGS = settings.Settings(
+    'n0', 'h0', 'a', 'h0:1', 7000, 7001, (), 1.0, worlds.LIMITS, 6.0
+)
+
+
+def make_record(name, domain, revision):
+    return fleet.NodeRecord(
+        f'n{name}', f'h{name}', 1, 1, 'serving', f'h{name}:1', domain, 1.0,
+        0.0, False, True, revision, 0.0,
+    )  # fmt: skip
+
+
+def make_host(monkeypatch):
+    node = host.Host(
+        SETTINGS, None, test_catalog.Decoder(), None, (), lambda: None, {}
+    )
+    monkeypatch.setattr(node, '_start_fetches', lambda: None)
+    return node
+
+
+def test_a_relayed_record_names_a_source_of_its_revision(monkeypatch):
+    node = make_host(monkeypatch)
+    reader = make_record(9, 'b', 40)
+    payload = gossip.Payload((reader,), revision=12)
+    node._offer_holders('h1', payload, 0.0)
+    assert node._fetches.start(12, 0.0) == []
+    assert node._fetches.start(12, transfers.find_delay(False)) == ['h9']
+
+
+def test_a_node_is_no_source_for_itself(monkeypatch):
+    node = make_host(monkeypatch)
+    payload = gossip.Payload((make_record(0, 'a', 40),), revision=0)
+    node._offer_holders('h1', payload, 0.0)
+    assert node._fetches.find_due(9.0) is None
