Continue from the store's revision after its last change

Cause: the catalog took the revision of the last change in a reply, the next call began at the store's own revision. Where the store's is higher (a change of a key that the reply leaves out), the next changes begin beyond the catalog's revision: the reader applies them, but its revision stays, so it announces nothing and no other node learns of them.

Change: the catalog takes up the revision as of which the store replied.

Measured: tests/forwarding/test_follower.py: the revision stayed at 7 of 9 before, follows now.

--- a/packages/core/balsamshore_core/forwarding/follower.py
+++ b/packages/core/balsamshore_core/forwarding/follower.py
@@ -145,7 +145,7 @@
                 for item in items
             ],
             self._as_of,
-            max((item.revision for item in items), default=0),
+            max([as_of, *(item.revision for item in items)]),
             now,
         )
         self._record_success(max(as_of, self._as_of), now - age_s)
--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -2,12 +2,15 @@
 
 import random
 
+from forwarding import test_catalog
 from forwarding import worlds
 
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import catalog as catalogs
 from balsamshore_core.forwarding import follower as followers
 
+ENTRY = 'web ready 0 1'
+
 
 def test_changes_too_large_to_read_lead_to_one_listing_after_a_backoff():
     follower = make_follower()
@@ -54,7 +57,24 @@
     assert follower.checked_at == 4.0
 
 
+def test_a_revision_beyond_the_last_change_does_not_stop_later_ones():
+    follower, catalog = make_follower_and_catalog()
+    follower.tick(0, 0.0, False, 0.0)
+    follower.handle_snapshot([test_catalog.put('a', 2, ENTRY)], 5, 0.0)
+    for revision, as_of in ((7, 9), (12, 12)):
+        now = float(revision)
+        follower.tick(0, 0.0, False, now)
+        change = test_catalog.put('a', revision, ENTRY)
+        follower.handle_changes([change], as_of, now)
+        assert catalog.revision == as_of
+
+
 def make_follower():
+    return make_follower_and_catalog()[0]
+
+
+def make_follower_and_catalog():
     rng = random.Random(1)
     board = boards.Board('z1', rng, worlds.LIMITS)
-    return followers.Follower(catalogs.Catalog(board, None), rng, 0.0)
+    catalog = catalogs.Catalog(board, test_catalog.Decoder())
+    return followers.Follower(catalog, rng, 0.0), catalog
