Check in the soak that added routes are served and invalid ones not taken

CONFIG: of its four forms the soak counted two, a version that goes back and one that is not in force at the end.

Change: a fifth of the new configurations is preceded by one without routes, which no node may take; at the end each node must serve the last routes added and answer 404 on those dropped. Three deliberate faults: older, invalid, routes.

--- a/tests/adapter/sabotage.py
+++ b/tests/adapter/sabotage.py
@@ -9,6 +9,7 @@
 import sys
 
 from balsamshore_core.forwarding import answers
+from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import exchanges
 from balsamshore_core.forwarding import fingerprints
 from balsamshore_core.forwarding import quarantine
@@ -16,6 +17,7 @@
 from balsamshore_core.forwarding import routes
 from balsamshore_node.forwarding import host
 from balsamshore_platform import core
+from balsamshore_platform import documents
 from balsamshore_platform import headers
 
 
@@ -100,6 +102,42 @@
     headers.Headers.encode_attempt = encode_longer
 
 
+def bring_back_older_configurations():
+    """Replaces a new configuration by the previous one now and then."""
+    put_table = catalog.Catalog._put_table
+
+    def put_and_revert(self, table, changes):
+        previous = self._board.table
+        put_table(self, table, changes)
+        if previous is not None and table.version % 2:
+            self._board.table = None
+            put_table(self, previous, changes)
+
+    catalog.Catalog._put_table = put_and_revert
+
+
+def take_invalid_configurations():
+    """Takes a configuration that lacks its routes."""
+    read_table = documents._read_table
+
+    def read_incomplete_table(fields):
+        return read_table(
+            {'routes': [], 'services': [], 'limits': {}, **fields}
+        )
+
+    documents._read_table = read_incomplete_table
+
+
+def leave_out_added_routes():
+    """Knows the version of a new configuration but not its last route."""
+    build_table = routes.build_table
+
+    def build_incomplete_table(version, table_routes, *arguments):
+        return build_table(version, table_routes[:3], *arguments)
+
+    routes.build_table = build_incomplete_table
+
+
 def make_fingerprint_fault(find):
     """Returns a fault: fingerprints depend on what differs between repeats.
 
@@ -157,6 +195,9 @@
         f'fingerprint-{name}': make_fingerprint_fault(find)
         for name, find in FINGERPRINT_FAULTS.items()
     },
+    'older': bring_back_older_configurations,
+    'invalid': take_invalid_configurations,
+    'routes': leave_out_added_routes,
     'attempts': allow_any_number_of_attempts,
     'deadlines': extend_deadlines,
     'extra': allow_any_extra_attempts,
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -52,6 +52,7 @@
 CRASH_REPEAT_S = 0.3
 CALLER_ADDRESSES = 8
 EXTRA_ROUTES = (0, 0, 1_400)  # of a new configuration
+INVALID_SHARE = 0.2  # of the new configurations, preceded by an invalid one
 LINK_BYTES_PER_S = (50_000, 250_000, 1_750_000)
 
 
@@ -161,6 +162,10 @@
         self.interrupted_nodes = set()
         self.signals = []
         self.version = 1
+        self.added_routes = []
+        self.dropped_routes = []
+        self.invalid_versions = set()
+        self.table_rng = random.Random(seed)
 
     async def run(self, seconds):
         platform = self.platform
@@ -251,15 +256,26 @@
         )()
 
     async def change_configuration(self):
+        if self.table_rng.random() < INVALID_SHARE:
+            await self.write_invalid_configuration()
         self.version += self.rng.randint(1, 3)
         names = [
             f'{self.rng.getrandbits(64):016x}'
             for _ in range(self.rng.choice(EXTRA_ROUTES))
         ]
+        self.dropped_routes = self.added_routes
+        self.added_routes = [*names, f'added{self.version}']
+        names = self.added_routes
         await self.platform.put(
             'op/config', emulator.make_table(self.version, extra=names)
         )
 
+    async def write_invalid_configuration(self):
+        """Writes a configuration without routes, as another writer may."""
+        self.version += 1
+        self.invalid_versions.add(self.version)
+        await self.platform.put('op/config', {'version': self.version})
+
     async def change_link(self):
         index = self.rng.randint(1, self.nodes)
         host = f'{self.platform.network}.2.{index}'
@@ -305,17 +321,32 @@
             if response.status != 200 or 'missing-parts' in response.headers:
                 self.violations.append(f'node {index} does not recover')
             self.check_versions(index)
+            await self.check_routes(index)
 
     def check_versions(self, index):
         """Checks that no version goes back and the newest one is in force."""
         processes = self.platform.list_versions(f'n{index}')
         if any(versions != sorted(versions) for versions in processes):
             self.violations.append(f'node {index} went back: {processes}')
+        for versions in processes:
+            if invalid := self.invalid_versions.intersection(versions):
+                self.violations.append(f'node {index} took {invalid}')
         if processes[-1][-1:] != [self.version]:
             self.violations.append(
                 f'node {index} has {processes[-1]}, not {self.version}'
             )
 
+    async def check_routes(self, index):
+        """Checks that added routes are served and dropped ones are not."""
+        expected = [(name, 200) for name in self.added_routes[-2:]]
+        expected += [(name, 404) for name in self.dropped_routes[-2:]]
+        for name, status in expected:
+            response = await self.platform.send_request(index, f'/{name}/x')
+            if response.status != status:
+                self.violations.append(
+                    f'node {index} answers {response.status} on {name}'
+                )
+
     def record_signal(self, index):
         self.signals.append((index, asyncio.get_running_loop().time()))
 
