--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -64,6 +64,7 @@
             success without a seal), `broken` (truncated body), `slow` or
             `slower`, or one of `endless.MANNERS`: bytes until the caller
             closes.
+        server_limits: Values of the header `Server-Limit`, by server id.
         crashing_targets: Targets of requests that crash each server that
             executes them; the server is back after `crash_down_s` with a new
             `born`.
@@ -88,6 +89,7 @@
         self.crashes = self.ledger.crashes
         self.store_host = f'{network}.0.1'
         self.server_modes = {}
+        self.server_limits = {}
         self.crashing_targets = set()
         self.crash_manner = 'closed'
         self.crash_down_s = CRASH_DOWN_S
@@ -266,6 +268,12 @@
             for number in range(3)
         )
         fields = {'Server-Seal': seal, 'Request-Id': request_id}
+        if server_id in self.server_limits:
+            fields['Server-Limit'] = self.server_limits[server_id]
+        self.ledger.record_limit(
+            asyncio.get_running_loop().time(), server_id, peer,
+            self.server_limits.get(server_id),
+        )  # fmt: skip
         if mode == 'reset':
             return None
         if mode in endless.MANNERS:
--- a/tests/adapter/ledgers.py
+++ b/tests/adapter/ledgers.py
@@ -9,6 +9,8 @@
 - `check_extra`: arrivals beyond the first of each request at each service, in
   any window, rejected ones included. The first arrival at each shard is not
   extra.
+- `check_limits`: arrivals at a server beyond the rate that it named, summed
+  over the nodes that knew.
 """
 
 import collections
@@ -18,7 +20,11 @@
 DEADLINE_TOLERANCE_S = 0.5
 EXCUSED_DEADLINES = 20
 EXCUSED_DEADLINE_SHARE = 0.2
-STABLE_WINDOW_S = 4.0  # after the third crash
+STABLE_WINDOW_S = 4.0  # after the third crash, or the first rate limit
+RATE_WINDOW_S = 4.0
+RATE_TOLERANCE = 1.5
+EXCUSED_ARRIVALS = 5
+KNOWN_AFTER_S = 0.5  # a node knows a limit this long after it had an answer
 
 
 class ExecutedRequest(NamedTuple):
@@ -102,6 +108,7 @@
         executed: Requests that servers started to execute.
         crashes: Crashes of servers under a request.
         ended: Servers that ended or were cut off, with the time.
+        limits: Rates that each server named, with the time; None for none.
     """
 
     def __init__(self, bounds=None):
@@ -111,6 +118,59 @@
         self.executed = []
         self.crashes = []
         self.ended = collections.defaultdict(list)
+        self.limits = collections.defaultdict(list)
+        self._told = {}
+
+    def record_limit(self, at, server_id, node_host, value):
+        """Records that a server answered a node, with a rate or without."""
+        limit = None if value is None else float(value)
+        stated = self.limits[server_id]
+        if (stated[-1][1] if stated else None) != limit:
+            stated.append((at, limit))
+        if limit is not None:
+            self._told.setdefault((server_id, node_host), at)
+
+    def check_limits(self):
+        """Checks the arrivals at servers that named a rate limit."""
+        violations = []
+        for server_id, stated in self.limits.items():
+            if not stated:
+                continue
+            begins_at = stated[0][0] + STABLE_WINDOW_S
+            times = [
+                arrival.at
+                for arrival in self.arrivals
+                if arrival.server_id == server_id
+                and arrival.at >= begins_at
+                and arrival.at
+                >= self._told.get((server_id, arrival.node_host), float('inf'))
+                + KNOWN_AFTER_S
+            ]
+            worst = max(
+                (
+                    (count - self._find_allowed(stated, at), count, at)
+                    for at, count in _count_windows(times)
+                ),
+                default=(0.0, 0, 0.0),
+            )
+            if worst[0] > 0:
+                allowed = worst[1] - worst[0]
+                violations.append(
+                    f'{server_id} got {worst[1]} requests in 4 s, '
+                    f'{allowed:.0f} are allowed'
+                )
+        return violations
+
+    @staticmethod
+    def _find_allowed(stated, at):
+        """Returns the arrivals allowed in the window that begins at a time."""
+        in_force = [limit for since, limit in stated if since <= at][-1:]
+        in_force += [
+            limit for since, limit in stated if at < since <= at + RATE_WINDOW_S
+        ]
+        if None in in_force:
+            return float('inf')
+        return RATE_TOLERANCE * RATE_WINDOW_S * max(in_force) + EXCUSED_ARRIVALS
 
     def check_runs(self):
         """Checks on how many servers each request ran, for each shard."""
@@ -240,3 +300,13 @@
         return any(
             at >= arrival.at for at in self.ended.get(arrival.server_id, ())
         )
+
+
+def _count_windows(times):
+    """Yields the beginning and the arrivals of each full window."""
+    times = sorted(times)
+    end = 0
+    for begin, at in enumerate(times):
+        while end < len(times) and times[end] < at + RATE_WINDOW_S:
+            end += 1
+        yield at, end - begin
