Keep requests within the rate that a backend server states

Cause: nothing read the header, and a bound for all nodes together was no concept for servers, only for retries and connections.

Change: the adapter reads the rate (the smallest of several; what cannot be read leaves the former rate, or 5 a second). core.forwarding.ratelimits keeps a bucket of tokens for each incarnation of a server, filled with this node's share of the rate; the shares are those of core.forwarding.senders, with the window of this rule. Every send spends a token: first attempts, hedges, retries. Active nodes send each other what they heard, so that all know at once; an answer without a rate, to a request sent after the last statement, ends it, and the server's load grows back over four seconds. core.forwarding.rates: parts wait for the next token; a request whose parts cannot be sent before its answer is due goes without them, or is refused at once if its floor is out of reach, before any server spends on it. A token of each server is kept for the most urgent classes.

--- a/packages/core/balsamshore_core/forwarding/actions.py
+++ b/packages/core/balsamshore_core/forwarding/actions.py
@@ -15,6 +15,8 @@
         seal: The server's signature of the reply, or ''.
         head: Reply data for the caller besides the body; opaque here.
         body: The complete body.
+        rate_limit: Requests a second that the server takes from all nodes
+            together, `ratelimits.UNREADABLE`, or None if it states no limit.
     """
 
     status: int
@@ -23,6 +25,7 @@
     seal: str
     head: bytes
     body: bytes
+    rate_limit: float | None = None
 
 
 class Send(NamedTuple):
--- a/packages/core/balsamshore_core/forwarding/answers.py
+++ b/packages/core/balsamshore_core/forwarding/answers.py
@@ -67,6 +67,11 @@
     )
 
 
+def is_floor_missed(exchange: boards.Exchange, missing: int) -> bool:
+    """Returns whether the floor is missed if so many parts are missing."""
+    return len(exchange.parts) - missing < _find_required_parts(exchange)
+
+
 def choose_retry_delay(left_s: float, rng: random.Random) -> float:
     """Chooses the retry delay of a refused caller, with jitter."""
     preferred_s = BASE_RETRY_DELAY_S + RETRY_JITTER_S * rng.random()
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -7,6 +7,7 @@
 
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import quarantine as quarantines
+from balsamshore_core.forwarding import ratelimits
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
@@ -201,12 +202,17 @@
             routes that are no longer configured.
         senders: Number of nodes that may send to backend servers; set by the
             host from `fleet`.
+        limit_share: This node's share of the rate limits of servers; set by the
+            host from `fleet`.
         slack_share: This node's share of the slack of retry budgets; set by
             the host from `fleet`.
         exchanges: Requests in progress.
         slowness_reports: Slowness, by id, of the servers found slow since
             the last report to other nodes; `exchanges` adds entries and the
             host clears them when it sends the report.
+        rate_reports: What was heard of the rate limits of servers since the
+            last report to other nodes, by server id; `exchanges` adds entries
+            and the host clears them when it sends the report.
         ended_servers: Incarnations that ended since the last look; `catalog`
             adds them and `exchanges` takes them.
         quarantine: Requests under which servers crashed; `exchanges` reports
@@ -227,11 +233,15 @@
         default_factory=routes.Splitter
     )
     senders: int = 1
+    limit_share: float = 0.225
     slack_share: float = 0.5
     exchanges: ExchangeSection = dataclasses.field(
         default_factory=ExchangeSection
     )
     slowness_reports: dict[str, float] = dataclasses.field(default_factory=dict)
+    rate_reports: dict[str, ratelimits.RateReport] = dataclasses.field(
+        default_factory=dict
+    )
     ended_servers: list[servers.EndedServer] = dataclasses.field(
         default_factory=list
     )
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -16,6 +16,8 @@
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import delays
 from balsamshore_core.forwarding import isolation
+from balsamshore_core.forwarding import ratelimits
+from balsamshore_core.forwarding import rates
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
@@ -41,6 +43,7 @@
         self._wait_queues = waitqueues.WaitQueues()
         self._delays = delays.Delays()
         self._isolation = isolation.Isolation(board)
+        self._rates = rates.Rates(board, self._wait_queues, self._timers)
 
     def start(
         self,
@@ -76,10 +79,13 @@
         self._state.exchanges[exchange_id] = exchange
         output: boards.Actions = []
         self._board.counters['requests'] += 1
-        refusal = self._find_refusal(exchange, now)
+        limited = self._rates.list_parts_out(exchange, now)
+        refusal = self._find_refusal(exchange, len(limited), now)
         if refusal:
             self._finish(exchange, refusal, now, output)
             return output
+        for part in limited:
+            self._fail_part(part, 'rate_limited', now, output)
         for part in exchange.parts:
             self._get_retry_budget(part.service).record_first_attempt(now)
             if part.is_open():
@@ -116,6 +122,7 @@
             self._isolation.record_answer(part.exchange.fingerprint, now)
         if not reply.misdirected:
             self._isolation.record_reply(server.entry)
+            self._rates.record_reply(attempt, reply, now)
         if not attempt.abandoned:
             self._evaluate_reply(attempt, reply, now, output)
         self._continue_waiting(part, now, output)
@@ -244,9 +251,10 @@
     def handle_due_timers(self, now: float) -> boards.Actions:
         """Handles the timers that are due."""
         output: boards.Actions = []
-        handlers = {
+        handlers: dict[str, collections.abc.Callable] = {
             'hedge': self._handle_hedge_timer,
             'round': self._handle_round_timer,
+            'rate': self._handle_rate_timer,
             'objective': self._handle_objective_timer,
             'deadline': self._handle_deadline_timer,
             'linger': self._handle_linger_timer,
@@ -292,8 +300,27 @@
             self._send_waiting(service, now, output)
         return output
 
-    def _find_refusal(self, exchange: boards.Exchange, now: float) -> str:
-        """Returns why a request cannot be served now, or ''."""
+    def apply_rate_reports(
+        self,
+        reports: collections.abc.Mapping[str, ratelimits.RateReport],
+        now: float,
+    ) -> None:
+        """Applies another node's reports about rate limits of servers."""
+        for server_id, report in reports.items():
+            server = self._board.registry.find(server_id)
+            if server is not None:
+                server.record_rate_report(report, now)
+
+    def _find_refusal(
+        self, exchange: boards.Exchange, limited: int, now: float
+    ) -> str:
+        """Returns why a request cannot be served now, or ''.
+
+        Args:
+            exchange: The request.
+            limited: Number of its parts that no server may get in time.
+            now: Monotonic seconds.
+        """
         if self._isolation.is_stopped(exchange, now):
             return 'quarantined'
         by_service = self._board.registry.by_service
@@ -307,6 +334,8 @@
             return 'no_replicas'
         if exchange.deadline_at <= exchange.arrived_at:
             return 'no_time'
+        if limited and answers.is_floor_missed(exchange, limited):
+            return 'rate_limited'
         return ''
 
     def _dispatch_part(
@@ -343,6 +372,7 @@
                     part.not_before, 'round', part.exchange.exchange_id
                 )
             self._wait_queues.add(part)
+            self._rates.wait(part, now)
             return False
         self._send_attempt(part, server, kind, now, output)
         return True
@@ -358,6 +388,8 @@
             now,
             self._board.rng,
             self._board.quarantine.is_suspected(part.exchange.fingerprint),
+            self._board.limit_share,
+            self._rates.find_kept_tokens(part.exchange.route),
         )
 
     def _send_attempt(
@@ -375,6 +407,8 @@
         attempt = boards.Attempt(attempt_id, part, server, now, alone)
         self._state.attempts[attempt_id] = attempt
         server.in_flight += 1
+        if server.limit is not None:
+            server.limit.spend(self._board.limit_share, now)
         server.suspects += alone
         exchange.running += 1
         server_id = server.entry.server_id
@@ -414,6 +448,12 @@
             if part.waiting:
                 self._send_waiting(part.service, now, output)
 
+    def _handle_rate_timer(
+        self, service: str, now: float, output: boards.Actions
+    ) -> None:
+        self._rates.end_wait(service)
+        self._send_waiting(service, now, output)
+
     def _send_waiting(
         self, service: str, now: float, output: boards.Actions
     ) -> None:
@@ -425,6 +465,7 @@
                 return True
             server = self._choose_server(part, now)
             if server is None:
+                self._rates.wait(part, now)
                 return False
             self._send_attempt(part, server, 'queued', now, output)
             return True
@@ -694,7 +735,9 @@
         return budget
 
     def _is_timer_relevant(self, timer: timers.Timer) -> bool:
-        """Returns whether the attempt or exchange of a timer still exists."""
+        """Returns whether what a timer waits for still exists."""
+        if timer.kind == 'rate':
+            return timer.key in self._wait_queues.list_services()
         is_for_attempt = timer.kind in ('hedge', 'linger')
         state = self._state
         return timer.key in (
--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -13,6 +13,7 @@
 import random
 from typing import NamedTuple
 
+from balsamshore_core.forwarding import ratelimits
 from balsamshore_core.forwarding import senders
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -460,6 +461,10 @@
         """Returns this node's share of the slack of retry budgets."""
         return self._senders.find_share(now)
 
+    def find_limit_share(self, now: float) -> float:
+        """Returns this node's share of the rate limits of servers."""
+        return self._senders.find_share(now, ratelimits.WINDOW_S)
+
     def may_lack_reports(self, now: float) -> bool:
         """Returns whether nodes that this one cannot hear may know more.
 
--- a/packages/core/balsamshore_core/forwarding/routes.py
+++ b/packages/core/balsamshore_core/forwarding/routes.py
@@ -66,12 +66,21 @@
 
 
 class RouteTable(NamedTuple):
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    Attributes:
+        version: Its version.
+        by_host: Routes by host, longer prefixes first.
+        services: Services by name.
+        limits: Limits for requests of callers.
+        urgent_priority: Priority of the most urgent classes.
+    """
 
     version: int
     by_host: dict[str, tuple[Route, ...]]
     services: dict[str, Service]
     limits: CallerLimits
+    urgent_priority: int = 0
 
 
 def build_table(
@@ -82,8 +91,10 @@
 ) -> RouteTable:
     """Builds a table in which longer prefixes are matched first."""
     by_host: dict[str, list[Route]] = {}
+    priorities = [0]
     for route in routes:
         by_host.setdefault(route.host, []).append(route)
+        priorities.append(route.priority)
     return RouteTable(
         version,
         {
@@ -94,6 +105,7 @@
         },
         {service.name: service for service in services},
         limits,
+        min(priorities[1:], default=0),
     )
 
 
--- a/packages/core/balsamshore_core/forwarding/senders.py
+++ b/packages/core/balsamshore_core/forwarding/senders.py
@@ -54,7 +54,7 @@
             window_s: Window of the limits that are shared.
         """
         self._own_name = own_name
-        self._handover_s = window_s * WINDOW_GRANULARITY + GOSSIP_S
+        self._handover_s = _find_handover(window_s)
         self._seen: dict[str, _Seen] = {}
         self._started_at = float('-inf')
         self._count = INITIAL_SENDERS
@@ -103,12 +103,20 @@
         """Returns whether a node that carried traffic fell silent."""
         return self._missing
 
-    def find_share(self, now: float) -> float:
-        """Returns the share of a limit that this node may use, 0 to 1."""
+    def find_share(self, now: float, window_s: float | None = None) -> float:
+        """Returns the share of a limit that this node may use, 0 to 1.
+
+        Args:
+            now: Monotonic seconds.
+            window_s: Window of the limit, by default that of the constructor.
+        """
+        handover_s = self._handover_s
+        if window_s is not None:
+            handover_s = _find_handover(window_s)
         since = self._counted_since
-        if since is None or now - since < self._handover_s:
+        if since is None or now - since < handover_s:
             reserved = RESERVED_SHARE
-            if now - self._started_at < self._handover_s:
+            if now - self._started_at < handover_s:
                 reserved = STARTUP_SHARE
             return reserved / max(self._nodes, MIN_SENDERS)
         return (1.0 - RESERVED_SHARE) / max(self._count, MIN_SENDERS)
@@ -150,6 +158,10 @@
         return silent
 
 
+def _find_handover(window_s: float) -> float:
+    return window_s * WINDOW_GRANULARITY + GOSSIP_S
+
+
 def _count_silent_senders(silent: list[_Seen]) -> int:
     """Returns how many silent nodes may carry traffic behind partitions."""
     nodes = collections.Counter(seen.failure_domain for seen in silent)
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -7,9 +7,12 @@
 """
 
 import collections.abc
+import math
 import random
 from typing import NamedTuple
 
+from balsamshore_core.forwarding import ratelimits
+
 EWMA_WEIGHT = 0.25  # of a new sample of slowness
 SLOW_SAMPLE = 3.0  # a reply that takes this many times the typical time is slow
 FAILURE_WEIGHT = 0.1  # of a new sample; a single failure shows no trend
@@ -82,6 +85,7 @@
             connection.
         failures: Number of consecutive failures, at most 8.
         in_flight: Number of attempts that it has not answered yet.
+        limit: The rate of requests that it states, or None.
         overdue: Number of these that are overdue.
         slowness: Latency relative to the typical latency, at `sampled_at`.
         slow_reply_at: When the last reply was received, if it was slow.
@@ -98,6 +102,7 @@
         'failure_sampled_at',
         'failures',
         'in_flight',
+        'limit',
         'overdue',
         'sampled_at',
         'slow_reply_at',
@@ -109,6 +114,7 @@
         self.entry = entry
         self.accepts_connections = False
         self.in_flight = 0
+        self.limit: ratelimits.RateLimit | None = None
         self.overdue = 0
         self.suspects = 0
         self.slowness = COLD_SLOWNESS if entry.cold_s > 0 else 1.0
@@ -168,6 +174,62 @@
             self.slowness = slowness
             self.sampled_at = now
 
+    def record_rate_limit(
+        self, rate: float | None, sent_at: float, now: float
+    ) -> bool:
+        """Records the rate that a reply states.
+
+        Args:
+            rate: The rate, or None if the reply states none. A reply to a
+                request that was sent before the last statement was received
+                does not end a limit.
+            sent_at: When the request was sent.
+            now: Monotonic seconds.
+
+        Returns:
+            Whether other nodes should know.
+        """
+        limit = self.limit
+        if rate is None:
+            if limit is None or limit.ended_at is not None:
+                return False
+            limit.end(sent_at)
+            return limit.ended_at is not None
+        if limit is None:
+            self.limit = ratelimits.RateLimit(rate, now, now)
+        else:
+            limit.hear(rate, now)
+        return True
+
+    def record_rate_report(
+        self, report: ratelimits.RateReport, now: float
+    ) -> None:
+        """Records what another node heard of this server's limit."""
+        if report.born_ms != self.entry.born_ms:
+            return
+        heard_at = now - report.age_s
+        if report.rate is None:
+            if self.limit is not None:
+                self.limit.end(heard_at)
+        elif self.limit is None:
+            self.limit = ratelimits.RateLimit(report.rate, heard_at, now)
+        else:
+            self.limit.hear(report.rate, heard_at)
+
+    def count_tokens(self, share: float, now: float) -> float:
+        """Returns how many requests the server's limit allows this node now.
+
+        Args:
+            share: This node's share of the limit, 0 to 1.
+            now: Monotonic seconds.
+        """
+        if self.limit is None:
+            return math.inf
+        if self.limit.is_over(now):
+            self.limit = None
+            return math.inf
+        return self.limit.count_tokens(share, now)
+
     def record_failure(self, now: float) -> None:
         """Records a lost, corrupted or failed reply."""
         ejection_s = min(INITIAL_EJECTION_S * 2**self.failures, MAX_EJECTION_S)
@@ -254,6 +316,8 @@
     now: float,
     rng: random.Random,
     suspected: bool = False,
+    limit_share: float = 1.0,
+    kept_tokens: float = 0.0,
 ) -> Server | None:
     """Chooses the server that is expected to reply first.
 
@@ -266,16 +330,24 @@
         rng: The node's seeded generator.
         suspected: Whether the request may crash the server. It then goes where
             no other request runs, if possible.
+        limit_share: This node's share of the rate limits of servers.
+        kept_tokens: How many requests of each rate limit are kept for more
+            urgent classes.
 
     Returns:
-        The server, or None when every server was tried or has reached the
-        connection limit.
+        The server, or None when every server was tried, has reached the
+        connection limit or may get no more requests now.
     """
     best, best_cost = None, 0.0
     for server in servers:
         entry = server.entry
         if server.in_flight >= max_in_flight or entry.server_id in tried:
             continue
+        if (
+            server.limit is not None
+            and server.count_tokens(limit_share, now) < 1.0 + kept_tokens
+        ):
+            continue
         cost = server.current_slowness(now)
         cost *= 1.0 + server.in_flight / entry.slots
         cost += JITTER * rng.random()
--- a/packages/core/balsamshore_core/forwarding/timers.py
+++ b/packages/core/balsamshore_core/forwarding/timers.py
@@ -11,7 +11,7 @@
     due_at: float
     sequence: int
     kind: str
-    key: int
+    key: int | str
 
 
 class Timers:
@@ -21,13 +21,13 @@
         self._timers: list[Timer] = []
         self._sequence = 0
 
-    def start(self, due_at: float, kind: str, key: int) -> None:
+    def start(self, due_at: float, kind: str, key: int | str) -> None:
         """Adds a timer.
 
         Args:
             due_at: When it is due, monotonic seconds.
             kind: Kind of the timer, which selects its handler.
-            key: Id of the attempt or exchange.
+            key: Id of the attempt or exchange, or name of the service.
         """
         self._sequence += 1
         heapq.heappush(self._timers, Timer(due_at, self._sequence, kind, key))
--- a/packages/core/balsamshore_core/forwarding/waitqueues.py
+++ b/packages/core/balsamshore_core/forwarding/waitqueues.py
@@ -27,6 +27,13 @@
             (part.exchange.route.priority, self._sequence, part),
         )
 
+    def count_waiting(self, service: str, priority: int) -> int:
+        """Counts the parts that are sent before a new one."""
+        return sum(
+            other <= priority and part.is_open() and part.waiting
+            for other, _, part in self._queues.get(service, ())
+        )
+
     def list_services(self) -> tuple[str, ...]:
         """Lists the services with waiting parts."""
         return tuple(self._queues)
--- a/packages/node/balsamshore_node/forwarding/gossip.py
+++ b/packages/node/balsamshore_node/forwarding/gossip.py
@@ -14,6 +14,7 @@
 
 from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import fleet
+from balsamshore_core.forwarding import ratelimits
 from balsamshore_core.forwarding import suspects
 
 MAX_ITEMS_BYTES = 8_192  # larger changes are fetched over a stream
@@ -21,6 +22,13 @@
 # With notices at the end. Releases without quarantine drop such a datagram, so
 # it carries nothing else that they need.
 NOTICES_FORMAT_VERSION = 3
+# With rate reports at the end. Earlier releases drop it as well.
+RATES_FORMAT_VERSION = 4
+FORMAT_VERSIONS = (
+    FORMAT_VERSION,
+    NOTICES_FORMAT_VERSION,
+    RATES_FORMAT_VERSION,
+)
 MALFORMED_LOG_INTERVAL = 1_000  # one in this many malformed datagrams is logged
 
 
@@ -40,6 +48,8 @@
         relay: Whether the sender's record is to be relayed, and changes missing
             here are to be fetched without delay.
         notices: Requests under which servers crashed.
+        rate_reports: What the sender heard of the rate limits of backend
+            servers, by server id.
     """
 
     __slots__ = (
@@ -47,6 +57,7 @@
         'is_snapshot',
         'items',
         'notices',
+        'rate_reports',
         'records',
         'relay',
         'requested_keys',
@@ -67,8 +78,11 @@
         requested_keys: tuple[int, ...] = (),
         relay: bool = False,
         notices: collections.abc.Sequence[suspects.Notice] = (),
+        rate_reports: collections.abc.Mapping[str, ratelimits.RateReport]
+        | None = None,
     ):
         self.notices = notices
+        self.rate_reports = dict(rate_reports or {})
         self.records = records
         self.items = items
         self.is_snapshot = is_snapshot
@@ -93,6 +107,15 @@
         payload.requested_keys,
         payload.relay,
     )
+    if payload.rate_reports:
+        return msgpack.packb(
+            (
+                RATES_FORMAT_VERSION,
+                *fields,
+                payload.notices,
+                payload.rate_reports,
+            )
+        )
     if payload.notices:
         return msgpack.packb((NOTICES_FORMAT_VERSION, *fields, payload.notices))
     return msgpack.packb((FORMAT_VERSION, *fields))
@@ -118,12 +141,12 @@
             relay,
             *rest,
         ) = msgpack.unpackb(data)
-        if version not in (FORMAT_VERSION, NOTICES_FORMAT_VERSION):
+        if version not in FORMAT_VERSIONS:
             raise ValueError(
-                f'format version {version!r}, expected {FORMAT_VERSION} or '
-                f'{NOTICES_FORMAT_VERSION}'
+                f'format version {version!r}, expected one of {FORMAT_VERSIONS}'
             )
-        notices = rest[0] if version == NOTICES_FORMAT_VERSION else ()
+        notices = rest[0] if version >= NOTICES_FORMAT_VERSION else ()
+        rates = rest[1] if version >= RATES_FORMAT_VERSION else {}
         return Payload(
             tuple(fleet.NodeRecord(*record) for record in records),
             [catalog.Item(*item) for item in items],
@@ -135,8 +158,13 @@
             tuple(requested_keys),
             relay,
             [_read_notice(*notice) for notice in notices],
+            {
+                str(server_id): _read_rate_report(*report)
+                for server_id, report in rates.items()
+            },
         )
     except (
+        AttributeError,
         IndexError,
         TypeError,
         ValueError,
@@ -164,6 +192,14 @@
     )
 
 
+def _read_rate_report(
+    born_ms: int, rate: float | None, age_s: float
+) -> ratelimits.RateReport:
+    return ratelimits.RateReport(
+        int(born_ms), None if rate is None else float(rate), float(age_s)
+    )
+
+
 class Gossip(asyncio.DatagramProtocol):
     """The node's datagram socket.
 
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -41,9 +41,10 @@
 
 TICK_INTERVAL_S = 0.1  # between checks of the store, settings and log
 TICKS_PER_HEARTBEAT = round(fleets.HEARTBEAT_INTERVAL_S / TICK_INTERVAL_S)
-TICKS_PER_SLOWNESS_REPORT = 2  # sent to active nodes every 0.2 s, if any
+TICKS_PER_SERVER_REPORT = 2  # sent to active nodes every 0.2 s, if any
 TICKS_PER_USAGE_SAMPLE = 10
 TICKS_PER_RELOAD = 20  # settings may change without a signal
+MAX_RATE_REPORTS = 32  # in a datagram, about 1.2 KB
 NEWS_DELAY_S = 0.005  # servers often crash together
 MAX_ACCEPT_DELAY_S = 0.3  # callers wait this long for the first configuration
 MAX_CHANGE_LINES = 8  # more changes at once share one log line
@@ -408,6 +409,7 @@
         for message in responses:
             self._send_message(message)
         self.exchanges.apply_slowness_reports(payload.slowness_reports, now)
+        self.exchanges.apply_rate_reports(payload.rate_reports, now)
         if payload.notices:
             self._perform(self.exchanges.apply_notices(payload.notices, now))
         old_revision = self.catalog.revision
@@ -565,22 +567,39 @@
         for peer_host in message.recipients:
             self._gossip.send(peer_host, datagram)
 
-    def _send_slowness_reports(self, now: float) -> None:
-        """Sends this node's reports of slow servers to the active nodes."""
-        slowness_reports, self.board.slowness_reports = (
-            self.board.slowness_reports,
-            {},
-        )
-        datagram = gossip.encode_payload(
-            gossip.Payload(
-                (self.fleet.own_record,),
-                revision=self.catalog.revision,
-                slowness_reports=slowness_reports,
+    def _send_server_reports(self, now: float) -> None:
+        """Sends reports of slow and limited servers to the active nodes."""
+        slowness_reports = self.board.slowness_reports
+        rate_reports = self.board.rate_reports
+        self.board.slowness_reports, self.board.rate_reports = {}, {}
+        own_records = (self.fleet.own_record,)
+        revision = self.catalog.revision
+        payloads = []
+        if slowness_reports:
+            payloads.append(
+                gossip.Payload(
+                    own_records,
+                    revision=revision,
+                    slowness_reports=slowness_reports,
+                )
             )
-        )
-        for record in self.fleet.list_alive(now):
-            if record.active:
-                self._gossip.send(record.host, datagram)
+        names = list(rate_reports)
+        for start in range(0, len(names), MAX_RATE_REPORTS):
+            batch = names[start : start + MAX_RATE_REPORTS]
+            payloads.append(
+                gossip.Payload(
+                    own_records,
+                    revision=revision,
+                    rate_reports={name: rate_reports[name] for name in batch},
+                )
+            )
+        if not payloads:
+            return
+        hosts = [r.host for r in self.fleet.list_alive(now) if r.active]
+        for payload in payloads:
+            datagram = gossip.encode_payload(payload)
+            for peer_host in hosts:
+                self._gossip.send(peer_host, datagram)
 
     def _send_notices(
         self, messages: collections.abc.Iterable[rumors.NoticeMessage]
@@ -657,11 +676,8 @@
             )
             self.board.quarantine.expire(now)
             self._pool.close_expired()
-        if (
-            ticks % TICKS_PER_SLOWNESS_REPORT == 0
-            and self.board.slowness_reports
-        ):
-            self._send_slowness_reports(now)
+        if ticks % TICKS_PER_SERVER_REPORT == 0:
+            self._send_server_reports(now)
         if ticks % TICKS_PER_USAGE_SAMPLE == 0:
             self._usage.measure(
                 now, self.board.counters['requests'], self.settings.capacity
@@ -696,6 +712,7 @@
             ).info('number of nodes that share the limits of servers')
         self.board.senders = senders
         self.board.slack_share = self.fleet.find_slack_share(now)
+        self.board.limit_share = self.fleet.find_limit_share(now)
 
     def _log_reader_change(self, rank: int, peer_checked_age_s: float) -> None:
         reads_store = self.follower.state != 'idle'
