--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -1,6 +1,7 @@
 """Tests that decode the platform's documents, headers and settings."""
 
 import json
+import math
 import pathlib
 import re
 
@@ -132,6 +133,29 @@
     assert request.deadline_s == 1.5
 
 
+@pytest.mark.parametrize(
+    ('values', 'rate'),
+    [
+        ([], None), ([b'9.5'], 9.5), ([b' 20 '], 20.0), ([b'.5'], 0.5),
+        ([b'9', b'4'], 4.0), ([b'9, 4'], 4.0), ([b'x', b'4'], 4.0),
+        ([b'0'], 0.0),
+    ],
+)  # fmt: skip
+def test_the_smallest_readable_rate_of_a_server_counts(values, rate):
+    fields = [(b'server-limit', value) for value in values]
+    assert read_reply(fields=fields).rate_limit == rate
+
+
+@pytest.mark.parametrize(
+    'value',
+    [b'', b'-4', b'nan', b'inf', b'1e308', b'9' * 400, b'four', b'4 a second',
+     b'\xff', b'0x10', b'1_0'],
+)  # fmt: skip
+def test_an_unreadable_rate_is_stated_as_such(value):
+    reply = read_reply(fields=[(b'server-limit', value)])
+    assert math.isnan(reply.rate_limit)
+
+
 def read_reply(status=200, fields=(), body=b'x'):
     request = headers.Headers().read_request(
         b'GET', b'/', [(b'request-id', b'r1')], b''
--- a/tests/forwarding/test_gossip.py
+++ b/tests/forwarding/test_gossip.py
@@ -8,8 +8,10 @@
 from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import fleet
 from balsamshore_core.forwarding import quarantine
+from balsamshore_core.forwarding import ratelimits
 from balsamshore_core.forwarding import suspects
 from balsamshore_node.forwarding import gossip
+from balsamshore_node.forwarding import host
 
 RECORD = fleet.NodeRecord(
     'n1', '127.0.0.1', 5, 6, 'serving', '127.0.0.1:1', 'a', 1.0, 0.1, True,
@@ -77,6 +79,36 @@
         gossip.decode_payload(data)
 
 
+def test_rate_reports_are_decoded_as_encoded():
+    reports = {
+        'i-1': ratelimits.RateReport(2**41, 9.5, 0.25),
+        'i-2': ratelimits.RateReport(0, None, 1.0),
+    }
+    payload = gossip.Payload((RECORD,), revision=9, rate_reports=reports)
+    decoded = gossip.decode_payload(gossip.encode_payload(payload))
+    assert decoded.rate_reports == reports
+    assert decoded.records == (RECORD,)
+
+
+def test_a_datagram_of_rate_reports_fits_one_packet():
+    reports = {
+        f'i-{n:010}': ratelimits.RateReport(2**41, 9.25, 0.125)
+        for n in range(host.MAX_RATE_REPORTS)
+    }
+    payload = gossip.Payload((RECORD,), revision=2**40, rate_reports=reports)
+    assert len(gossip.encode_payload(payload)) <= 1_400
+
+
+@pytest.mark.parametrize(
+    'reports', [5, ['i'], {'i': 5}, {'i': [1, 'x', 1.0]}, {'i': [1, 1.0]}]
+)
+def test_invalid_rate_reports_are_an_error(reports):
+    fields = msgpack.unpackb(gossip.encode_payload(gossip.Payload((RECORD,))))
+    data = msgpack.packb([4, *fields[1:], [], reports])
+    with pytest.raises(ValueError, match='invalid gossip payload'):
+        gossip.decode_payload(data)
+
+
 @hypothesis.settings(deadline=None, derandomize=True)
 @hypothesis.given(st.binary(max_size=100))
 def test_other_bytes_are_not_news(payload):
