Keep the rates that servers state on the project's own interface too

Change: the reply header x-rate-limit, documented with the stand-in server, which can state one. ratelimits moves to core, where both engines use it. A server without a token is not usable; each node's share is that of connections (the largest fleet of the last minute and two more). A request that no server takes before its deadline is refused at once. Nodes do not tell each other: each hears a rate with its first answer. Older traces replay, the new field of ReplyArrived has a default.

--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -15,6 +15,7 @@
 from balsamshore_core import configuration
 from balsamshore_core import events
 from balsamshore_core import quantiles
+from balsamshore_core import ratelimits
 
 
 class Identity:
@@ -91,6 +92,7 @@
         slow_count: Consecutive attempts that exceeded the hedge delay.
         lost_at: When it was last lost.
         failures: How often it was lost since it last recovered.
+        limit: The rate of requests that it states, or None.
     """
 
     server: configuration.BackendServer
@@ -106,6 +108,7 @@
     slow_count: int = 0
     lost_at: float = -1e9
     failures: int = 0
+    limit: ratelimits.RateLimit | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/balsamshore_core/connections/dispatch.py
+++ b/packages/core/balsamshore_core/connections/dispatch.py
@@ -35,6 +35,10 @@
     if not any(replicas.is_serving(board, name, now) for name in pooled):
         yield commands.AttemptRejected(message.attempt_id, 'no_replica')
         return
+    wait_s = replicas.find_shortest_rate_wait(board, pooled, now)
+    if now + wait_s >= message.deadline_at:
+        yield commands.AttemptRejected(message.attempt_id, 'rate_limited')
+        return
     wait_queue = board.connections.waiting
     queue = wait_queue.by_shard.setdefault(
         (message.index_name, message.shard), collections.deque()
--- a/packages/core/balsamshore_core/events.py
+++ b/packages/core/balsamshore_core/events.py
@@ -68,6 +68,8 @@
         failed: Whether the reply reports an error of a request that ran.
         draining: Whether the server reports that it is draining.
         body: The result, one JSON value.
+        rate_limit: Requests a second that the server takes from all nodes
+            together, `ratelimits.UNREADABLE`, or None if it states no limit.
     """
 
     connection_id: int
@@ -79,6 +81,7 @@
     failed: bool
     draining: bool
     body: bytes
+    rate_limit: float | None = None
 
 
 class HealthArrived(NamedTuple):
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -5,9 +5,9 @@
 import random
 import typing
 
+from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import quarantine as quarantines
-from balsamshore_core.forwarding import ratelimits
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -11,12 +11,12 @@
 
 import collections.abc
 
+from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import delays
 from balsamshore_core.forwarding import isolation
-from balsamshore_core.forwarding import ratelimits
 from balsamshore_core.forwarding import rates
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -13,7 +13,7 @@
 import random
 from typing import NamedTuple
 
-from balsamshore_core.forwarding import ratelimits
+from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import senders
 
 HEARTBEAT_INTERVAL_S = 0.5
--- a/packages/core/balsamshore_core/forwarding/rates.py
+++ b/packages/core/balsamshore_core/forwarding/rates.py
@@ -7,9 +7,9 @@
 spends its rate on an answer that is refused.
 """
 
+from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import board as boards
-from balsamshore_core.forwarding import ratelimits
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import timers
 from balsamshore_core.forwarding import waitqueues
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -11,7 +11,7 @@
 import random
 from typing import NamedTuple
 
-from balsamshore_core.forwarding import ratelimits
+from balsamshore_core import ratelimits
 
 EWMA_WEIGHT = 0.25  # of a new sample of slowness
 SLOW_SAMPLE = 3.0  # a reply that takes this many times the typical time is slow
--- a/packages/core/balsamshore_core/forwarding/ratelimits.py
+++ b/packages/core/balsamshore_core/ratelimits.py
@@ -11,8 +11,10 @@
 """
 
 import math
+import re
 from typing import NamedTuple
 
+DECIMAL = re.compile(rb'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 UNREADABLE = math.nan  # a rate that the server stated but nobody can read
 UNREADABLE_RATE = 5.0  # used until the server states a readable one
 # A server that takes nothing is still asked now and then, because only an
@@ -29,6 +31,20 @@
 RECOVERY_DOUBLING_S = 1.0
 
 
+def parse_rate(text: bytes) -> float:
+    """Parses decimal numbers, separated by commas, and returns the smallest.
+
+    Returns:
+        The smallest readable number, or UNREADABLE.
+    """
+    rates = [
+        float(value)
+        for value in text.split(b',')
+        if DECIMAL.fullmatch(value.strip())
+    ]
+    return min(filter(math.isfinite, rates), default=UNREADABLE)
+
+
 class RateReport(NamedTuple):
     """What a node heard of the limit of a server.
 
--- a/packages/core/balsamshore_core/replicas.py
+++ b/packages/core/balsamshore_core/replicas.py
@@ -14,6 +14,7 @@
 from balsamshore_core import commands
 from balsamshore_core import events
 from balsamshore_core import quantiles
+from balsamshore_core import ratelimits
 
 LATENCY_DECAY_S = 10.0
 MAX_DECAY_DOUBLINGS = 5
@@ -31,6 +32,7 @@
 ALL_SHARDS = ''
 SLOW_FACTOR = 2.0
 SLOW_REPORT_TTL_S = 5.0
+RATE_RESERVE_NODES = 2  # of a server's rate, for nodes that replace others
 
 Messages = collections.abc.Iterator[Any]
 
@@ -66,6 +68,8 @@
     replica = board.replicas.replicas.get(name)
     if replica is None or replica.stalled or now < replica.draining_until:
         return False
+    if find_rate_wait(board, replica, now) > 0.0:
+        return False
     return now >= replica.shed_until and not (
         now < replica.cold_until and replica.in_flight > 0
     )
@@ -83,6 +87,47 @@
     return replica.lost_at <= replica.last_reply_at or not replica.failures
 
 
+def find_rate_wait(
+    board: blackboard.Blackboard, replica: blackboard.Replica, now: float
+) -> float:
+    """Returns the seconds until a server takes another request of this node.
+
+    The rate that a server states holds for all nodes together. They divide it
+    by the fleet size that connections are divided by.
+    """
+    limit = replica.limit
+    if limit is None:
+        return 0.0
+    if limit.is_over(now):
+        replica.limit = None
+        return 0.0
+    share = _find_rate_share(board)
+    missing = 1.0 - limit.count_tokens(share, now)
+    return max(0.0, missing) / (limit.find_rate(now) * share)
+
+
+def find_shortest_rate_wait(
+    board: blackboard.Blackboard,
+    servers: collections.abc.Iterable[str],
+    now: float,
+) -> float:
+    """Returns the seconds until one of the servers takes another request."""
+    known = board.replicas.replicas
+    return min(
+        (
+            find_rate_wait(board, known[name], now)
+            for name in servers
+            if is_serving(board, name, now)
+        ),
+        default=0.0,
+    )
+
+
+def _find_rate_share(board: blackboard.Blackboard) -> float:
+    fleet_size = board.connections.fleet_peak
+    return 1.0 / (fleet_size + RATE_RESERVE_NODES)
+
+
 def estimate_cost(board: blackboard.Blackboard, name: str, now: float) -> float:
     """Estimates the seconds until one more attempt would be answered."""
     replica = board.replicas.replicas[name]
@@ -189,6 +234,8 @@
     replica = board.replicas.replicas.get(message.server)
     if replica is not None:
         replica.in_flight += 1
+        if replica.limit is not None:
+            replica.limit.spend(_find_rate_share(board), now)
     yield from ()
 
 
@@ -255,6 +302,7 @@
         return
     replica.in_flight = max(0, replica.in_flight - 1)
     replica.last_reply_at = now
+    _record_rate_limit(replica, message, now)
     if replica.stalled:
         yield commands.ServerRecovered(message.server)
     if message.reply.draining:
@@ -266,6 +314,19 @@
         replica.cold_until = now + COLD_START_S
 
 
+def _record_rate_limit(
+    replica: blackboard.Replica, message: commands.AttemptReplied, now: float
+) -> None:
+    reply = message.reply
+    if reply.rate_limit is not None:
+        if replica.limit is None:
+            replica.limit = ratelimits.RateLimit(reply.rate_limit, now, now)
+        else:
+            replica.limit.hear(reply.rate_limit, now)
+    elif replica.limit is not None and not (reply.refusal or reply.failed):
+        replica.limit.end(now - message.elapsed_s)
+
+
 def _record_lost_attempt(
     board: blackboard.Blackboard, message: commands.AttemptLost, now: float
 ) -> Messages:
--- a/packages/node/balsamshore_node/backends.py
+++ b/packages/node/balsamshore_node/backends.py
@@ -16,6 +16,7 @@
 
 from balsamshore_core import actions
 from balsamshore_core import events
+from balsamshore_core import ratelimits
 from balsamshore_core.connections import pooling
 from balsamshore_node import errors
 from balsamshore_node import telemetry
@@ -245,6 +246,9 @@
         reply.status != 200 or not _is_json(reply.body),
         draining,
         reply.body,
+        ratelimits.parse_rate(headers[b'x-rate-limit'])
+        if b'x-rate-limit' in headers
+        else None,
     )
 
 
--- a/packages/node/balsamshore_node/forwarding/gossip.py
+++ b/packages/node/balsamshore_node/forwarding/gossip.py
@@ -12,9 +12,9 @@
 import loguru
 import msgpack
 
+from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import fleet
-from balsamshore_core.forwarding import ratelimits
 from balsamshore_core.forwarding import suspects
 
 MAX_ITEMS_BYTES = 8_192  # larger changes are fetched over a stream
--- a/packages/standins/balsamshore_standins/backend.py
+++ b/packages/standins/balsamshore_standins/backend.py
@@ -4,8 +4,10 @@
 `x-shard`, `x-snapshot`, `x-deadline-ms`; the reply repeats the first five.
 A 503 with `x-not-run: REASON` means that the request did not run; REASON is
 `shed`, `cold`, `draining`, `snapshot` or `deadline`. `x-draining: 1` on a
-reply means that the server is draining. `POST /v1/cancel` with `x-attempt`
-cancels an attempt; `POST /v1/health` checks the server's health.
+reply means that the server is draining. `x-rate-limit: R` on a reply asks all
+nodes together for at most R requests a second, for as long as replies say so.
+`POST /v1/cancel` with `x-attempt` cancels an attempt; `POST /v1/health` checks
+the server's health.
 """
 
 import json
@@ -88,6 +90,7 @@
         holds: Index, snapshot and shard of each part that it serves.
         slow_factor: Factor on the service time.
         draining: Whether it refuses attempts and marks replies as draining.
+        rate_limit: The rate that its replies state, or None.
         health_lies: Whether its health endpoint hides that it is draining.
         stalled: Whether it accepts requests but never replies.
         crash_keys: Keys of requests that crash it.
@@ -101,6 +104,7 @@
         self.ledger = ledger
         self.slow_factor = 1.0
         self.draining = False
+        self.rate_limit: float | None = None
         self.health_lies = False
         self.stalled = False
         self.crash_keys: set[str] = set()
@@ -270,7 +274,7 @@
         found = records.find_records(self._seed, index, snapshot, shard, key)
         return serving.Response(
             200,
-            self._echo(request) + _build_draining_headers(self.draining),
+            self._echo(request) + self._build_state_headers(),
             records.encode_records(found),
         )
 
@@ -288,10 +292,16 @@
         self, request: serving.Request, key: str, reason: str
     ) -> serving.Response:
         self._record(request, key, f'refused:{reason}')
-        headers = self._echo(request) + _build_draining_headers(self.draining)
+        headers = self._echo(request) + self._build_state_headers()
         headers.append((b'x-not-run', reason.encode()))
         return serving.Response(503, headers, b'null')
 
+    def _build_state_headers(self) -> list[tuple[bytes, bytes]]:
+        headers = _build_draining_headers(self.draining)
+        if self.rate_limit is not None:
+            headers.append((b'x-rate-limit', b'%g' % self.rate_limit))
+        return headers
+
     def _echo(self, request: serving.Request) -> list[tuple[bytes, bytes]]:
         return [(name, request.headers[name]) for name in ECHOED_HEADERS]
 
--- a/packages/standins/balsamshore_standins/fakes.py
+++ b/packages/standins/balsamshore_standins/fakes.py
@@ -41,6 +41,7 @@
         crash_after_s: Time from the start of such a request to the crash.
         restart_s: Time from a crash until it is up again.
         fails: Whether it runs attempts but replies with an error.
+        rate_limit: The rate of requests that its replies state, or None.
     """
 
     up: bool = True
@@ -53,6 +54,7 @@
     crash_after_s: float = 0.0
     restart_s: float = 1.0
     fails: bool = False
+    rate_limit: float | None = None
 
 
 @dataclasses.dataclass
@@ -393,6 +395,7 @@
                 server.fails,
                 server.draining,
                 body,
+                server.rate_limit,
             ),
         )
 
--- a/tests/forwarding/test_gossip.py
+++ b/tests/forwarding/test_gossip.py
@@ -5,10 +5,10 @@
 import msgpack
 import pytest
 
+from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import fleet
 from balsamshore_core.forwarding import quarantine
-from balsamshore_core.forwarding import ratelimits
 from balsamshore_core.forwarding import suspects
 from balsamshore_node.forwarding import gossip
 from balsamshore_node.forwarding import host
--- a/tests/forwarding/test_ratelimits.py
+++ b/tests/forwarding/test_ratelimits.py
@@ -8,7 +8,7 @@
 from forwarding import test_senders
 from forwarding import worlds
 
-from balsamshore_core.forwarding import ratelimits
+from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import servers
 
 ENTRY = servers.ServerEntry('s', 'web', 'h:1', 'a', 4, False, 0.0, 7, 1)
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -162,7 +162,14 @@
 @hypothesis.given(
     st.dictionaries(
         st.sampled_from(
-            [b'x-attempt', b'x-query', b'x-shard', b'x-snapshot', b'x-not-run']
+            [
+                b'x-attempt',
+                b'x-query',
+                b'x-shard',
+                b'x-snapshot',
+                b'x-not-run',
+                b'x-rate-limit',
+            ]
         ),
         st.binary(max_size=20),
     ),
@@ -183,6 +190,15 @@
     )
     if status != 200:
         assert event.failed
+    assert (event.rate_limit is None) == (b'x-rate-limit' not in headers)
+
+
+def test_the_rate_that_a_backend_server_states_is_read():
+    reply = transport.Reply(200, {b'x-rate-limit': b'9.5'}, b'{}', False)
+    job = actions.SendAttempt(
+        1, 2, 3, 'many', 's0', 1, 0.5, 'many-0-0', 'first', b'1'
+    )
+    assert backends.read_reply(1, job, reply, b'vm~1~').rate_limit == 9.5
 
 
 def test_a_reply_that_is_not_json_is_a_failure():
