Do not pass on a success that its server did not seal

Cause: the check of the seal applied to parts of scattered requests only; for plain ones any status below 500 was an answer.

Change: a success without a seal is a failure of its server: ejection, a retry where one is allowed, otherwise 502. It is never kept as the last reply.

--- a/packages/core/balsamshore_core/forwarding/actions.py
+++ b/packages/core/balsamshore_core/forwarding/actions.py
@@ -27,6 +27,14 @@
     body: bytes
     rate_limit: float | None = None
 
+    @property
+    def failed(self) -> bool:
+        """Whether it is a failure, or a success that its server did not sign.
+
+        Such a success may be the beginning of a reply that broke off.
+        """
+        return self.status >= 500 or (self.status < 300 and not self.seal)
+
 
 class Send(NamedTuple):
     """Send a request to a server.
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -114,7 +114,7 @@
         elif reply.refused:
             server.record_refusal(now)
             self._board.counters['refused_by_server'] += 1
-        elif reply.status >= 500:
+        elif reply.failed:
             server.record_failure(now)
             self._board.counters['failed_by_server'] += 1
         else:
@@ -506,14 +506,14 @@
         exchange.may_have_run = True
         part.runs += 1
         scattered = bool(exchange.route.shards)
-        usable = 200 <= reply.status < 300 and bool(reply.seal)
-        if usable or (not scattered and reply.status < 500):
+        if not reply.failed and (reply.status < 300 or not scattered):
             self._complete_part(part, reply, now, output)
             return
         exchange.record_step(
             now, 'failed', part.service, server_id, str(reply.status)
         )
-        exchange.last_reply = reply
+        if reply.status >= 300:
+            exchange.last_reply = reply
         self._retry_part(part, 'failed', True, now, output)
 
     def _complete_part(
--- a/packages/core/balsamshore_core/forwarding/rates.py
+++ b/packages/core/balsamshore_core/forwarding/rates.py
@@ -39,7 +39,7 @@
 
         Only a served request shows that a limit has ended.
         """
-        if reply.rate_limit is None and reply.status >= 300:
+        if reply.rate_limit is None and (reply.failed or reply.status >= 300):
             return
         server = attempt.server
         if not server.record_rate_limit(reply.rate_limit, attempt.sent_at, now):
--- a/tests/forwarding/test_exchanges.py
+++ b/tests/forwarding/test_exchanges.py
@@ -506,3 +506,17 @@
         world.run(0.1)
         steps = world.answers[first].answer.steps
         assert 'retry_denied' not in {step.what for step in steps}
+
+
+def test_a_success_without_a_seal_is_a_failure_that_nobody_gets():
+    world = worlds.World(1, 2)
+    for server in world.servers.values():
+        server.seals = False
+    request = world.ask(world.plain)
+    world.run(2.0)
+    answer = world.answers[request].answer
+    assert (answer.outcome, answer.reply) == ('unknown', None)
+    assert {run.server for run in world.runs} == {'s0-0', 's0-1'}
+    assert all(
+        world.board.registry.find(name).failures for name in world.servers
+    )
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -37,6 +37,7 @@
         work_s: Execution time of a request.
         mode: `ok`, `silent`, `unreachable`, `over_limit`, `full` or `reset`.
         status: HTTP status of the replies.
+        seals: Whether it signs the replies.
         pauses: Start and length of each pause, in seconds.
         crashing: Fingerprints of the requests that crash the server.
     """
@@ -46,6 +47,7 @@
         self.work_s = 0.01
         self.mode = 'ok'
         self.status = 200
+        self.seals = True
         self.pauses = []
         self.crashing = set()
 
@@ -223,7 +225,7 @@
             status,
             refused,
             False,
-            f'seal-{server.entry.server_id}-{attempt}',
+            f'seal-{server.entry.server_id}-{attempt}' if server.seals else '',
             b'HTTP/1.1 %d' % status,
             attempt.to_bytes(16, 'big'),
         )
