Notice line ends after a reply

Cause: the parser skips CR and LF before the next message, so nothing reported them. No caller got them, but they show a server out of step.

Change: a last byte that is a line end is parsed apart; a reply that was complete before it is followed by bytes that belong to no request.

--- a/packages/node/balsamshore_node/forwarding/messages.py
+++ b/packages/node/balsamshore_node/forwarding/messages.py
@@ -9,6 +9,7 @@
 MAX_REPLY_HEAD_BYTES = 65_536  # interim heads and trailers included
 MAX_REPLY_BODY_BYTES = 16_777_216
 MAX_INTERIM_REPLIES = 16  # before the final one
+LINE_ENDS = (b'\r', b'\n')
 HEADER_OVERHEAD_BYTES = 4  # colon, space and line end
 
 
@@ -79,6 +80,18 @@
             TooLargeError: The response exceeds a limit.
         """
         self.started = True
+        # The parser skips line ends after a reply. With the last one apart, it
+        # shows that the reply was complete before it.
+        end = len(data) - 1 if data[-1:] in LINE_ENDS else len(data)
+        for part in (data[:end], data[end:]):
+            if part:
+                self._parse(part)
+        if self.complete:
+            # Breaks the reference cycle between parser and reader, which
+            # would stay in memory until the next garbage collection.
+            self._parser = None
+
+    def _parse(self, data: bytes) -> None:
         if self.complete:
             self.has_trailing_bytes = True
             return
@@ -92,10 +105,6 @@
             self.has_trailing_bytes = True
         if not self.complete:
             self._check_limits()
-        if self.complete:
-            # Breaks the reference cycle between parser and reader, which
-            # would stay in memory until the next garbage collection.
-            self._parser = None
 
     def _check_limits(self) -> None:
         if self._pending_bytes > MAX_REPLY_HEAD_BYTES:
--- a/tests/forwarding/test_messages.py
+++ b/tests/forwarding/test_messages.py
@@ -86,6 +86,34 @@
     assert reader.status == 200
 
 
+LINE_END_BYTES = st.text('\r\nab0', max_size=6).map(str.encode)
+
+
+def encode_reply(body, chunked):
+    head = b'HTTP/1.1 200 OK\r\n'
+    if not chunked:
+        return head + b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
+    chunks = b'%x\r\n%b\r\n' % (len(body), body) if body else b''
+    return head + b'Transfer-Encoding: chunked\r\n\r\n%b0\r\n\r\n' % chunks
+
+
+@hypothesis.settings(deadline=None, derandomize=True, max_examples=300)
+@hypothesis.given(
+    LINE_END_BYTES, st.booleans(), LINE_END_BYTES, st.integers(1, 90)
+)
+def test_line_ends_count_within_a_body_and_after_it(
+    body, chunked, surplus, cut
+):
+    data = encode_reply(body, chunked) + surplus
+    reader = messages.ReplyReader()
+    for part in (data[:cut], data[cut:]):
+        if part:
+            reader.feed(part)
+    assert reader.complete
+    assert reader.read_body() == body
+    assert reader.has_trailing_bytes == bool(surplus)
+
+
 def test_an_interim_reply_is_skipped():
     reader = messages.ReplyReader()
     reader.feed(b'HTTP/1.1 100 Continue\r\n\r\n' + REPLY)
