Let the soak's servers state rates

LIMIT: the soak had no server that states a rate.

Change: servers state 0, 4.5 or 12 requests a second, something unreadable, or no longer anything; the ledger judges each period in which a server states one rate, by the operators' rule, without senders that were disturbed.

--- a/tests/adapter/ledgers.py
+++ b/tests/adapter/ledgers.py
@@ -14,6 +14,7 @@
 """
 
 import collections
+import math
 from typing import NamedTuple
 
 EXCUSED_REQUESTS = 3  # that ran too often, or reached servers too late
@@ -90,6 +91,14 @@
     node_host: str
 
 
+class Statement(NamedTuple):
+    """An answer of a server to a node, with the rate limit that it states."""
+
+    at: float
+    limit: float | None
+    node_host: str
+
+
 class Bounds(NamedTuple):
     """The operators' bounds on attempts."""
 
@@ -108,7 +117,7 @@
         executed: Requests that servers started to execute.
         crashes: Crashes of servers under a request.
         ended: Servers that ended or were cut off, with the time.
-        limits: Rates that each server named, with the time; None for none.
+        limits: Statements of each server, one for each answer.
     """
 
     def __init__(self, bounds=None):
@@ -119,59 +128,45 @@
         self.crashes = []
         self.ended = collections.defaultdict(list)
         self.limits = collections.defaultdict(list)
-        self._told = {}
 
     def record_limit(self, at, server_id, node_host, value):
         """Records that a server answered a node, with a rate or without."""
-        limit = None if value is None else float(value)
-        stated = self.limits[server_id]
-        if (stated[-1][1] if stated else None) != limit:
-            stated.append((at, limit))
-        if limit is not None:
-            self._told.setdefault((server_id, node_host), at)
-
-    def check_limits(self):
-        """Checks the arrivals at servers that named a rate limit."""
+        try:
+            limit = None if value is None else float(value)
+        except ValueError:
+            limit = None
+        self.limits[server_id].append(Statement(at, limit, node_host))
+
+    def check_limits(self, counts=lambda arrival: True):
+        """Checks the arrivals at servers that state a rate limit.
+
+        Args:
+            counts: Returns whether the sender of an arrival was undisturbed.
+        """
         violations = []
-        for server_id, stated in self.limits.items():
-            if not stated:
-                continue
-            begins_at = stated[0][0] + STABLE_WINDOW_S
-            times = [
-                arrival.at
+        for server_id, statements in self.limits.items():
+            arrivals = [
+                arrival
                 for arrival in self.arrivals
-                if arrival.server_id == server_id
-                and arrival.at >= begins_at
-                and arrival.at
-                >= self._told.get((server_id, arrival.node_host), float('inf'))
-                + KNOWN_AFTER_S
+                if arrival.server_id == server_id and counts(arrival)
             ]
-            worst = max(
-                (
-                    (count - self._find_allowed(stated, at), count, at)
-                    for at, count in _count_windows(times)
-                ),
-                default=(0.0, 0, 0.0),
-            )
-            if worst[0] > 0:
-                allowed = worst[1] - worst[0]
-                violations.append(
-                    f'{server_id} got {worst[1]} requests in 4 s, '
-                    f'{allowed:.0f} are allowed'
+            for limit, begin, end, told in _list_periods(statements):
+                allowed = RATE_TOLERANCE * RATE_WINDOW_S * limit
+                allowed += EXCUSED_ARRIVALS
+                worst = _count_worst_window(
+                    arrival.at
+                    for arrival in arrivals
+                    if begin + STABLE_WINDOW_S <= arrival.at < end
+                    and arrival.at
+                    >= told.get(arrival.node_host, end) + KNOWN_AFTER_S
                 )
+                if worst > allowed:
+                    violations.append(
+                        f'{server_id} got {worst} requests in 4 s, '
+                        f'{allowed:.0f} are allowed'
+                    )
         return violations
 
-    @staticmethod
-    def _find_allowed(stated, at):
-        """Returns the arrivals allowed in the window that begins at a time."""
-        in_force = [limit for since, limit in stated if since <= at][-1:]
-        in_force += [
-            limit for since, limit in stated if at < since <= at + RATE_WINDOW_S
-        ]
-        if None in in_force:
-            return float('inf')
-        return RATE_TOLERANCE * RATE_WINDOW_S * max(in_force) + EXCUSED_ARRIVALS
-
     def check_runs(self):
         """Checks on how many servers each request ran, for each shard."""
         runs = collections.defaultdict(dict)
@@ -302,11 +297,33 @@
         )
 
 
-def _count_windows(times):
-    """Yields the beginning and the arrivals of each full window."""
+def _list_periods(statements):
+    """Lists the periods in which a server stated one rate.
+
+    Returns:
+        For each the rate, its beginning and end, and when each node heard of
+        it first.
+    """
+    periods = []
+    current = None
+    for at, limit, node_host in statements:
+        if limit != current:
+            if periods:
+                periods[-1][2] = min(at, periods[-1][2])
+            current = limit
+            if limit is not None and math.isfinite(limit):
+                periods.append([limit, at, math.inf, {}])
+        if periods and limit == periods[-1][0]:
+            periods[-1][3].setdefault(node_host, at)
+    return periods
+
+
+def _count_worst_window(times):
+    """Returns the most times in a window."""
     times = sorted(times)
-    end = 0
+    end = worst = 0
     for begin, at in enumerate(times):
         while end < len(times) and times[end] < at + RATE_WINDOW_S:
             end += 1
-        yield at, end - begin
+        worst = max(worst, end - begin)
+    return worst
--- a/tests/adapter/sabotage.py
+++ b/tests/adapter/sabotage.py
@@ -8,6 +8,7 @@
 import os
 import sys
 
+from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import exchanges
@@ -102,6 +103,11 @@
     headers.Headers.encode_attempt = encode_longer
 
 
+def ignore_rate_limits():
+    """Sends to servers whatever rate they state."""
+    ratelimits.RateLimit.count_tokens = lambda *arguments: 1e9
+
+
 def bring_back_older_configurations():
     """Replaces a new configuration by the previous one now and then."""
     put_table = catalog.Catalog._put_table
@@ -195,6 +201,7 @@
         f'fingerprint-{name}': make_fingerprint_fault(find)
         for name, find in FINGERPRINT_FAULTS.items()
     },
+    'limits': ignore_rate_limits,
     'older': bring_back_older_configurations,
     'invalid': take_invalid_configurations,
     'routes': leave_out_added_routes,
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -44,6 +44,7 @@
 SERVER_MODES = ('ok', 'ok', 'full', 'reset', 'dark', 'late_extra', 'garbage',
                 'broken', 'unframed', 'slow', *endless.MANNERS)  # fmt: skip
 STORE_MODES = ('ok', 'ok', 'busy', 'reset', 'silent')
+SERVER_LIMITS = ('', '', '0', '4.5', '12', 'none')  # 'none' is unreadable
 MEAN_FAULT_PAUSE_S = 0.5  # the pause between two faults is random
 RECOVERY_S = 8.0
 DEADLINE_MS = 2000  # of each caller
@@ -220,6 +221,7 @@
         """Injects random faults, which may overlap."""
         faults = (self.fail_server, self.fail_server, self.fail_store,
                   self.fail_service, self.change_crash_manner,
+                  self.limit_server,
                   self.disrupt_store_connection, self.change_configuration,
                   self.change_link, self.signal_node,
                   self.signal_node)  # fmt: skip
@@ -231,6 +233,16 @@
         name = self.rng.choice(sorted(self.platform.server_modes))
         self.platform.server_modes[name] = self.rng.choice(SERVER_MODES)
 
+    async def limit_server(self):
+        """Lets servers state a rate limit, or no longer."""
+        names = sorted(self.platform.server_modes)
+        for name in self.rng.sample(names, self.rng.randint(1, len(names))):
+            limit = self.rng.choice(SERVER_LIMITS)
+            if limit:
+                self.platform.server_limits[name] = limit
+            else:
+                self.platform.server_limits.pop(name, None)
+
     async def fail_service(self):
         """Lets all servers of a service fail alike."""
         service = self.rng.choice('abc')
@@ -302,6 +314,7 @@
         platform = self.platform
         platform.store_mode = 'ok'
         platform.server_modes.update(dict.fromkeys(platform.server_modes, 'ok'))
+        platform.server_limits.clear()
         self.proxy.apply(proxy.Rule())
         self.links.limits = {}
         self.links.frozen = set()
@@ -401,6 +414,7 @@
             *ledger.check_runs(),
             *ledger.check_deadlines(),
             *ledger.check_extra(),
+            *ledger.check_limits(self.is_sender_in_touch),
         ]
         for target in CRASHING_TARGETS:
             self.violations += ledger.check_crashing(target, self.is_in_touch)
@@ -412,10 +426,18 @@
             for request in self.platform.ledger.sent
             if request.request_id == crash.request_id
         )
+        return self.was_undisturbed(sent.node, sent.at, crash.at)
+
+    def is_sender_in_touch(self, arrival):
+        """Returns whether the node that sent a request was undisturbed."""
+        index = int(arrival.node_host.rpartition('.')[2])
+        return self.was_undisturbed(index, arrival.at, arrival.at)
+
+    def was_undisturbed(self, index, begin, end):
         return all(
-            not sent.at - ledgers.STABLE_WINDOW_S <= at <= crash.at
+            not begin - ledgers.STABLE_WINDOW_S <= at <= end
             for signalled, at in self.signals
-            if signalled == sent.node
+            if signalled == index
         )
 
 
--- a/tests/adapter/test_ledgers.py
+++ b/tests/adapter/test_ledgers.py
@@ -122,3 +122,37 @@
     for number in range(80):
         arrive(ledger, f'r{number % 40}', 4.0 + 0.25 * number, 'a1')
     assert not ledger.check_extra()
+
+
+def make_limited_ledger(per_second, seconds=10, limit='6'):
+    """Returns a ledger in which one node sends at a rate to one server."""
+    ledger = ledgers.Ledger()
+    for number in range(per_second * seconds):
+        at = number / per_second
+        ledger.arrivals.append(
+            ledgers.Arrival(at, f'r{number}', 'a', 'a0', 1, 1.0, True, 'n1')
+        )
+        ledger.record_limit(at, 'a0', 'n1', limit)
+    return ledger
+
+
+@pytest.mark.parametrize(('per_second', 'breaches'), [(10, 0), (11, 1)])
+def test_requests_beyond_a_rate_limit_are_detected(per_second, breaches):
+    assert len(make_limited_ledger(per_second).check_limits()) == breaches
+
+
+def test_nodes_that_were_disturbed_or_not_told_do_not_count():
+    ledger = make_limited_ledger(20)
+    assert not ledger.check_limits(lambda arrival: False)
+    ledger.limits['a0'] = [
+        statement._replace(node_host='n2') for statement in ledger.limits['a0']
+    ]
+    assert not ledger.check_limits()
+
+
+def test_a_limit_that_ended_or_is_unreadable_is_no_bound():
+    assert not make_limited_ledger(20, limit='none').check_limits()
+    ledger = make_limited_ledger(20, seconds=4)
+    ledger.record_limit(4.1, 'a0', 'n1', None)
+    ledger.arrivals += make_limited_ledger(20).arrivals
+    assert not ledger.check_limits()
