Follow the store when it comes back from an older copy

Cause: revisions only went up in the follower and in the catalog. After the store had gone back, each reader watched beyond its newest revision, got 410, listed all items and watched beyond it again, without end; what was written under a revision given out again was taken for old and spread to no node.

Change: the adapter reads Store-Era (absent: one era for good). Era and revision make one number, so the order of all modules, gossip, tombstones and transfers is that of (era, revision); a node of the former era brings nothing back, and non-readers take a new era up from peers without a call. A watch whose reply is of a newer era has lost its history; pages or replies of another era are errors. An entry that the copy lacks is retained for 2.2 s as after an outage; an entry or configuration that the copy shows in an older state stays as it is known, under the new revision; a server known to be removed returns only with a newer report. A second loss of history in a row waits for the backoff. Log line `era`, gauge store_era.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -3,6 +3,12 @@
 Items carry the store's revisions, so updates may arrive from any node, in any
 order and more than once: the newest revision of a key wins. The version of
 the configuration and the incarnation of a server never decrease.
+
+The store may come back from an older copy and give revisions out again. Each
+time its era grows; an era and a revision make one number here, so whatever is
+of a newer era wins, and a node that still has the former one cannot bring it
+back. What the copy shows in an older state than this node knows stays as it is
+known, under the new revision.
 """
 
 import collections.abc
@@ -13,16 +19,33 @@
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
 
+ERA_SHIFT = 40  # bits of a revision within its era
+MAX_ERA = 1 << 20
 RETENTION_S = 2.2  # expired entries return within 2 s after an outage
 TOMBSTONE_S = 30.0  # how long removals are kept for peers
 
 
+def make_revision(era: int, number: int) -> int:
+    """Returns the number by which revisions of all eras are ordered."""
+    return era << ERA_SHIFT | number
+
+
+def find_era(revision: int) -> int:
+    """Returns the era of a revision."""
+    return revision >> ERA_SHIFT
+
+
+def find_number(revision: int) -> int:
+    """Returns the store's own number of a revision."""
+    return revision & (1 << ERA_SHIFT) - 1
+
+
 class Item(NamedTuple):
     """One key of the store.
 
     Attributes:
         key: The key.
-        revision: Revision of its last change.
+        revision: Revision of its last change; see `make_revision`.
         value: Its bytes, or None once it was removed.
         retained: Whether the store failed shortly before the removal was
             seen. The entry then stays in use for RETENTION_S, in which its
@@ -86,6 +109,9 @@
             self.revision = max(self.revision, revision)
         for item in items:
             current = self._items.get(item.key)
+            is_new_era = current is not None and find_era(
+                current.revision
+            ) < find_era(item.revision)
             if not self._decoder.is_relevant(item.key):
                 continue
             if current is not None and item.revision <= current.revision:
@@ -93,8 +119,8 @@
             self._items[item.key] = item
             if item.value is None:
                 self._apply_removal(item, now, changes)
-            else:
-                self._put(item, item.value, changes, now)
+            elif not self._put(item, item.value, is_new_era, changes, now):
+                self._keep_known_state(item, current)
         return changes
 
     def replace(
@@ -162,20 +188,37 @@
         return len(self._items)
 
     def _put(
-        self, item: Item, value: bytes, changes: list[str], now: float
-    ) -> None:
+        self,
+        item: Item,
+        value: bytes,
+        is_new_era: bool,
+        changes: list[str],
+        now: float,
+    ) -> bool:
+        """Puts a value in force, unless a newer state of its key is known."""
         key = item.key
-        self._removed_at.pop(key, None)
-        self._retained_until.pop(key, None)
         decoded = self._decoder.decode(key, value)
         if isinstance(decoded, routes.RouteTable):
-            self._put_table(decoded, changes)
-            return
+            return self._put_table(decoded, changes)
+        known = self._entries.get(key)
+        if (
+            is_new_era
+            and known is not None
+            and decoded is not None
+            and key in self._removed_at
+            and (decoded.born_ms, decoded.sequence)
+            <= (known.born_ms, known.sequence)
+        ):
+            # The copy is older than the removal.
+            self._board.counters['old_reports'] += 1
+            return False
+        self._removed_at.pop(key, None)
+        self._retained_until.pop(key, None)
         if decoded is None:
             self._board.counters['unreadable_items'] += 1
             changes.append(f'{key} cannot be decoded; its server is not used')
             self._unregister(key, changes)
-            return
+            return True
         current = self._entries.get(key)
         # born_ms is the incarnation of the server.
         if current is not None and (decoded.born_ms, decoded.sequence) < (
@@ -183,7 +226,7 @@
             current.sequence,
         ):
             self._board.counters['old_reports'] += 1
-            return
+            return False
         if current is not None and decoded.born_ms > current.born_ms:
             self._record_end(current, True)
             changes.append(
@@ -197,14 +240,24 @@
             changes.append(
                 f'{decoded.server_id} of {decoded.service} is {state}'
             )
+        return True
+
+    def _keep_known_state(self, item: Item, known: Item | None) -> None:
+        """Keeps the newer state of a key under the revision of an older one.
 
-    def _put_table(self, table: routes.RouteTable, changes: list[str]) -> None:
+        Nodes that fetch the catalog then get that state.
+        """
+        if known is not None:
+            self._items[item.key] = known._replace(revision=item.revision)
+
+    def _put_table(self, table: routes.RouteTable, changes: list[str]) -> bool:
         current = self._board.table
         if current is not None and table.version <= current.version:
-            return
+            return False
         self._board.table = table
         self._board.splitter.discard_unused(table)
         changes.append(f'configuration {table.version} is in force')
+        return True
 
     def _apply_removal(
         self, item: Item, now: float, changes: list[str]
--- a/packages/core/balsamshore_core/forwarding/follower.py
+++ b/packages/core/balsamshore_core/forwarding/follower.py
@@ -66,6 +66,7 @@
         if wait_for_peers:
             self._due_at += PEER_WAIT_S * (1.0 + rng.random())
         self._failures = 0
+        self._losses = 0  # of history since the last changes
         self._outage_at = -OUTAGE_WINDOW_S
         self._history_lost = False
         self.state = 'idle'
@@ -115,6 +116,9 @@
             now: Monotonic seconds.
             age_s: Seconds since the store began to reply.
         """
+        known = self._catalog.revision
+        if known and catalogs.find_era(as_of) > catalogs.find_era(known):
+            self._outage_at = now
         changes = self._catalog.replace(
             items, as_of, self._is_outage_recent(now), now
         )
@@ -138,6 +142,7 @@
             now: Monotonic seconds.
             age_s: Seconds since the store began to reply.
         """
+        self._losses = 0
         retained = self._is_outage_recent(now)
         changes = self._catalog.apply(
             [
@@ -153,25 +158,35 @@
         return changes
 
     def handle_lost_history(self, now: float) -> None:
-        """Handles the answer that the store no longer has the changes."""
+        """Handles the answer that the store no longer has the changes.
+
+        All items are read at once the first time, with backoff if the changes
+        after them cannot be had either.
+        """
         self.state = 'pausing'
         self._history_lost = True
         self._due_at = now
+        if self._losses:
+            self._due_at += self._choose_backoff(self._losses - 1)
+        self._losses += 1
 
     def handle_failure(self, now: float) -> None:
         """Handles a call that failed; schedules a retry with backoff."""
         self.state = 'waiting'
         self._outage_at = now
         self.store_ok = False
-        wait_s = min(INITIAL_BACKOFF_S * 2**self._failures, MAX_BACKOFF_S)
+        self._due_at = now + self._choose_backoff(self._failures)
         self._failures += 1
-        self._due_at = now + wait_s * (0.5 + self._rng.random())
 
     def handle_oversized_changes(self, now: float) -> None:
         """Handles changes too large to read; reads all items next."""
         self.handle_failure(now)
         self._history_lost = True
 
+    def _choose_backoff(self, failures: int) -> float:
+        wait_s = min(INITIAL_BACKOFF_S * 2 ** min(failures, 10), MAX_BACKOFF_S)
+        return wait_s * (0.5 + self._rng.random())
+
     def _is_reader(self, rank: int, peer_read_age_s: float, now: float) -> bool:
         if self._catalog.revision == 0 and now - self._started_at > JOIN_WAIT_S:
             return True
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -165,6 +165,7 @@
             rng,
         )
         self._reads_store = False
+        self._era = 0
         self._shutdown_started_at: float | None = None
         self._stopped = anyio.Event()
 
@@ -349,7 +350,7 @@
             path=pending.request.target.partition('?')[0][:MAX_LOGGED_PATH],
             route=pending.route.name,
             version=table.version if table else 0,
-            revision=self.catalog.revision,
+            revision=catalogs.find_number(self.catalog.revision),
             checked_s=round(self._find_checked_age(), 1),
             outcome=answer.outcome,
             reason=answer.reason,
@@ -527,7 +528,9 @@
         if not changes:
             return
         log = loguru.logger.bind(
-            event='belief', source=source, revision=self.catalog.revision
+            event='belief',
+            source=source,
+            revision=catalogs.find_number(self.catalog.revision),
         )
         if len(changes) > MAX_CHANGE_LINES:
             log.bind(changes=changes).info(f'{len(changes)} changes')
@@ -685,6 +688,7 @@
         if ticks % TICKS_PER_RELOAD == 0:
             self._reload_settings()
         self._spread_quarantine()
+        self._log_new_era()
         self._handle_changes(self.catalog.expire(now), 'grace')
         rank = self.fleet.find_reader_rank(now)
         peer_checked_age_s = self.fleet.find_checked_age(now)
@@ -714,6 +718,14 @@
         self.board.slack_share = self.fleet.find_slack_share(now)
         self.board.limit_share = self.fleet.find_limit_share(now)
 
+    def _log_new_era(self) -> None:
+        era = catalogs.find_era(self.catalog.revision)
+        if era > self._era:
+            loguru.logger.bind(event='era', era=era, before=self._era).warning(
+                'the store came back from an older copy'
+            )
+            self._era = era
+
     def _log_reader_change(self, rank: int, peer_checked_age_s: float) -> None:
         reads_store = self.follower.state != 'idle'
         if reads_store != self._reads_store:
@@ -722,7 +734,7 @@
                 event='reader',
                 rank=rank,
                 heard_age_s=round(min(peer_checked_age_s, 1e6), 1),
-                revision=self.catalog.revision,
+                revision=catalogs.find_number(self.catalog.revision),
             ).info('watches the store' if reads_store else 'listens to peers')
 
     async def _read_store(
@@ -832,7 +844,8 @@
         suspected, stopped = self.board.quarantine.count(now)
         return {
             'configuration_version': table.version if table else 0,
-            'catalog_revision': self.catalog.revision,
+            'catalog_revision': catalogs.find_number(self.catalog.revision),
+            'store_era': catalogs.find_era(self.catalog.revision),
             'catalog_age_seconds': self._find_checked_age(),
             'requests_held': self.exchanges.count_open(),
             'connections_busy': busy,
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -81,6 +81,7 @@
         self.log = []
         self.revision = 1
         self.history_floor = 0
+        self.era = 0
         self.store_modes_by_host = {}
         self.store_mode = 'ok'
         self.store_calls = 0
@@ -135,6 +136,19 @@
             {'key': key, 'revision': self.revision, 'removed': True}
         )
 
+    def copy_store(self):
+        """Returns a copy to which `restore_store` can go back."""
+        return self.revision, dict(self.items)
+
+    def restore_store(self, copy):
+        """Goes back to a copy; revisions since then are given out again."""
+        self.revision, items = copy
+        self.items = dict(items)
+        self.log = [e for e in self.log if e['revision'] <= self.revision]
+        self.era += 1
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
     async def _publish(self, event):
         self.log.append(event)
         changed, self._changed = self._changed, asyncio.Event()
@@ -154,7 +168,7 @@
         if target.path == '/v1/kv-key':
             item = self.items.get(query['key'])
             return (
-                listeners.encode(404)
+                listeners.encode(404, b'', self._list_era_headers())
                 if item is None
                 else self._encode_json(item)
             )
@@ -168,13 +182,16 @@
             page = [self.items[key] for key in keys[:5]]
             return self._encode_json({'items': page, 'hasMore': len(keys) > 5})
         after = int(query['after'])
-        if after < self.history_floor:
-            return listeners.encode(410)
+        if after < self.history_floor or after > self.revision:
+            return listeners.encode(410, b'', self._list_era_headers())
+        era = self.era
         deadline = asyncio.get_running_loop().time()
         deadline += int(query['waitMs']) / 1000
         while True:
             events = [event for event in self.log if event['revision'] > after]
             remaining_s = deadline - asyncio.get_running_loop().time()
+            if self.era != era:
+                return listeners.encode(410, b'', self._list_era_headers())
             if events or remaining_s <= 0:
                 return self._encode_json({'events': events})
             with contextlib.suppress(TimeoutError):
@@ -183,7 +200,11 @@
 
     def _encode_json(self, fields):
         body = json.dumps({**fields, 'asOf': self.revision}).encode()
-        return listeners.encode(200, body, {'Content-Type': 'application/json'})
+        fields = {'Content-Type': 'application/json'}
+        return listeners.encode(200, body, fields | self._list_era_headers())
+
+    def _list_era_headers(self):
+        return {'Store-Era': str(self.era)} if self.era else {}
 
     # Servers
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -3,6 +3,8 @@
 import pytest
 from adapter import emulator
 
+from balsamshore_core.forwarding import catalog
+from balsamshore_node.forwarding import errors
 from balsamshore_platform import store
 
 pytestmark = pytest.mark.anyio
@@ -18,7 +20,7 @@
 class ChangingEmulator(emulator.Emulator):
     """Calls `change` just before the answer to one call to the store."""
 
-    change_at = 0
+    change_at = -1
     change = None
 
     async def _answer_store(self, raw, peer):
@@ -75,3 +77,78 @@
             del known[item.key]
     stored = {key: item['revision'] for key, item in platform.items.items()}
     assert known == stored
+
+
+# The store comes back from an older copy
+
+
+async def start_store(tmp_path, network):
+    platform = ChangingEmulator(tmp_path, network)
+    await platform.start()
+    await platform.put('op/config', emulator.make_table(1))
+    for number in range(SERVERS):
+        await platform.put(f'servers/s{number}', {'service': 'x'})
+    return platform, store.Store(f'{platform.store_host}:8229')
+
+
+async def restore_empty(platform):
+    platform.restore_store((platform.revision - 1, dict(platform.items)))
+
+
+async def test_a_listing_that_straddles_the_return_is_not_used(tmp_path):
+    platform, client = await start_store(tmp_path, '127.234')
+    platform.change = staticmethod(restore_empty)
+    try:
+        for change_at in (1, 2):
+            platform.change_at = platform.store_calls + change_at
+            with pytest.raises(errors.StoreError, match='from era'):
+                await client.read_all()
+        listing = await client.read_all()
+        assert catalog.find_era(listing.as_of) == 2
+    finally:
+        await platform.stop()
+
+
+async def test_a_watch_from_before_the_return_has_lost_its_history(tmp_path):
+    platform, client = await start_store(tmp_path, '127.235')
+    try:
+        listing = await client.read_all()
+        copy = platform.copy_store()
+        await platform.put('servers/lost', {'service': 'x'})
+        watched = await client.watch(listing.as_of, 0.05)
+        platform.restore_store(copy)
+        for after in (listing.as_of, watched.as_of):
+            assert (await client.watch(after, 0.05)).history_lost
+        # The revision is given out again, with other contents.
+        await platform.put('servers/other', {'service': 'x'})
+        assert (await client.watch(watched.as_of, 0.05)).history_lost
+        listing = await client.read_all()
+        assert listing.as_of > watched.as_of
+        keys = {item.key for item in listing.items}
+        assert 'servers/other' in keys
+        assert 'servers/lost' not in keys
+    finally:
+        await platform.stop()
+
+
+async def test_a_reply_of_a_former_era_is_an_error(tmp_path):
+    platform, client = await start_store(tmp_path, '127.236')
+    try:
+        platform.era = 2
+        listing = await client.read_all()
+        platform.era = 1
+        with pytest.raises(errors.StoreError, match='era 1, expected 2'):
+            await client.watch(listing.as_of, 0.05)
+    finally:
+        await platform.stop()
+
+
+@pytest.mark.parametrize('era', [-1, 'x', 2**70])
+async def test_an_invalid_era_is_an_error(tmp_path, era):
+    platform, client = await start_store(tmp_path, '127.237')
+    try:
+        platform.era = era
+        with pytest.raises(errors.StoreError, match='invalid era'):
+            await client.read_all()
+    finally:
+        await platform.stop()
