--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -306,10 +306,7 @@
         now: float,
     ) -> None:
         """Applies another node's reports about rate limits of servers."""
-        for server_id, report in reports.items():
-            server = self._board.registry.find(server_id)
-            if server is not None:
-                server.record_rate_report(report, now)
+        self._rates.apply_reports(reports, now)
 
     def _find_refusal(
         self, exchange: boards.Exchange, limited: int, now: float
--- a/packages/core/balsamshore_core/forwarding/rates.py
+++ b/packages/core/balsamshore_core/forwarding/rates.py
@@ -7,6 +7,8 @@
 spends its rate on an answer that is refused.
 """
 
+import collections.abc
+
 from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import board as boards
@@ -31,6 +33,7 @@
         self._wait_queues = wait_queues
         self._timers = rate_timers
         self._due_at: dict[str, float] = {}
+        self._limited: set[str] = set()  # services with servers that have one
 
     def record_reply(
         self, attempt: boards.Attempt, reply: actions.Reply, now: float
@@ -46,6 +49,7 @@
             return
         limit = server.limit
         assert limit is not None
+        self._limited.add(server.entry.service)
         rate = limit.rate if limit.ended_at is None else None
         self._board.rate_reports[server.entry.server_id] = (
             ratelimits.RateReport(
@@ -53,14 +57,29 @@
             )
         )
 
+    def apply_reports(
+        self,
+        reports: collections.abc.Mapping[str, ratelimits.RateReport],
+        now: float,
+    ) -> None:
+        """Applies another node's reports about the limits of servers."""
+        for server_id, report in reports.items():
+            server = self._board.registry.find(server_id)
+            if server is not None:
+                server.record_rate_report(report, now)
+                self._limited.add(server.entry.service)
+
     def list_parts_out(
         self, exchange: boards.Exchange, now: float
     ) -> list[boards.Part]:
         """Lists the parts that no server may get before the answer is due."""
+        if not self._limited:
+            return []
         return [
             part
             for part in exchange.parts
-            if self._find_expected_wait(part, now) > exchange.answer_at - now
+            if part.service in self._limited
+            and self._find_expected_wait(part, now) > exchange.answer_at - now
         ]
 
     def find_kept_tokens(self, route: routes.Route) -> float:
@@ -105,11 +124,16 @@
         """
         share = self._board.limit_share
         tokens = rate = 0.0
+        limits = []
         for server in self._list_servers(part.service):
             tokens += max(0.0, server.count_tokens(share, now))
-            if server.limit is None:
+            limits.append(server.limit)
+        if not any(limits):
+            self._limited.discard(part.service)
+        for limit in limits:
+            if limit is None:
                 return 0.0
-            rate += server.limit.find_rate(now) * share
+            rate += limit.find_rate(now) * share
         if not rate:
             return 0.0
         route = part.exchange.route
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -240,6 +240,12 @@
         entry['born'] += 1
         await self.put(f'servers/{server_id}', entry)
 
+    async def report_server(self, server_id):
+        """Writes the entry of a server again, as its next heartbeat."""
+        entry = self.servers[server_id]
+        entry['seq'] += 1
+        await self.put(f'servers/{server_id}', entry)
+
     async def drain(self, server_id):
         entry = {**self.servers[server_id], 'state': 'draining', 'seq': 2}
         await self.put(f'servers/{server_id}', entry)
