Wake what waits for a rate though the first to wait has left

LIMIT, found while reading the change: a part that waits for a server's next token starts one timer a service. When its request left, the timer counted as obsolete and was dropped, but was still taken for pending: later parts waited until their deadline. And a bucket of one token kept that token for urgent classes, so others were never served, where they should be.

Change: the timer of a service rings for whatever waits then. A bucket keeps for urgent classes what it holds beyond one token. A configuration that is written again under its version is published as written.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -253,7 +253,7 @@
     def _put_table(self, table: routes.RouteTable, changes: list[str]) -> bool:
         current = self._board.table
         if current is not None and table.version <= current.version:
-            return False
+            return table.version == current.version
         self._board.table = table
         self._board.splitter.discard_unused(table)
         changes.append(f'configuration {table.version} is in force')
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -732,9 +732,9 @@
         return budget
 
     def _is_timer_relevant(self, timer: timers.Timer) -> bool:
-        """Returns whether what a timer waits for still exists."""
+        """Returns whether the attempt or exchange of a timer still exists."""
         if timer.kind == 'rate':
-            return timer.key in self._wait_queues.list_services()
+            return True  # for whatever waits then
         is_for_attempt = timer.kind in ('hedge', 'linger')
         state = self._state
         return timer.key in (
--- a/packages/core/balsamshore_core/forwarding/rates.py
+++ b/packages/core/balsamshore_core/forwarding/rates.py
@@ -108,10 +108,10 @@
         self, part: boards.Part, now: float
     ) -> float | None:
         share = self._board.limit_share
-        needed = 1.0 + self.find_kept_tokens(part.exchange.route)
+        kept = self.find_kept_tokens(part.exchange.route)
         waits = []
         for server in self._list_servers(part.service):
-            missing = needed - server.count_tokens(share, now)
+            missing = 1.0 - server.count_tokens(share, now, kept)
             if server.limit is not None and missing > 0:
                 waits.append(missing / (server.limit.find_rate(now) * share))
         return min(waits, default=None)
@@ -122,11 +122,13 @@
         0 if there is a server without a limit; connections and capacity, for
         which the part may have to wait as well, do not count.
         """
+        route = part.exchange.route
+        kept = self.find_kept_tokens(route)
         share = self._board.limit_share
         tokens = rate = 0.0
         limits = []
         for server in self._list_servers(part.service):
-            tokens += max(0.0, server.count_tokens(share, now))
+            tokens += max(0.0, server.count_tokens(share, now, kept))
             limits.append(server.limit)
         if not any(limits):
             self._limited.discard(part.service)
@@ -136,10 +138,8 @@
             rate += limit.find_rate(now) * share
         if not rate:
             return 0.0
-        route = part.exchange.route
-        needed = 1.0 + self.find_kept_tokens(route)
-        needed += self._wait_queues.count_waiting(part.service, route.priority)
-        return max(0.0, needed - tokens) / rate
+        ahead = self._wait_queues.count_waiting(part.service, route.priority)
+        return max(0.0, 1.0 + ahead - tokens) / rate
 
     def _list_servers(self, service: str):
         return self._board.registry.by_service.get(service, {}).values()
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -216,19 +216,22 @@
         else:
             self.limit.hear(report.rate, heard_at)
 
-    def count_tokens(self, share: float, now: float) -> float:
+    def count_tokens(
+        self, share: float, now: float, kept: float = 0.0
+    ) -> float:
         """Returns how many requests the server's limit allows this node now.
 
         Args:
             share: This node's share of the limit, 0 to 1.
             now: Monotonic seconds.
+            kept: Requests that are kept for more urgent classes.
         """
         if self.limit is None:
             return math.inf
         if self.limit.is_over(now):
             self.limit = None
             return math.inf
-        return self.limit.count_tokens(share, now)
+        return self.limit.count_tokens(share, now, kept)
 
     def record_failure(self, now: float) -> None:
         """Records a lost, corrupted or failed reply."""
@@ -345,7 +348,7 @@
             continue
         if (
             server.limit is not None
-            and server.count_tokens(limit_share, now) < 1.0 + kept_tokens
+            and server.count_tokens(limit_share, now, kept_tokens) < 1.0
         ):
             continue
         cost = server.current_slowness(now)
--- a/packages/core/balsamshore_core/ratelimits.py
+++ b/packages/core/balsamshore_core/ratelimits.py
@@ -100,21 +100,25 @@
             ended_at = self.heard_at + SILENCE_S
         return now - ended_at > RECOVERY_S
 
-    def count_tokens(self, share: float, now: float) -> float:
+    def count_tokens(
+        self, share: float, now: float, kept: float = 0.0
+    ) -> float:
         """Returns the requests that this node may send now.
 
         Args:
             share: This node's share of the rate, 0 to 1.
             now: Monotonic seconds.
+            kept: Tokens that are not to be used. A bucket that holds fewer
+                than one more keeps what it holds beyond one.
         """
         rate = self.find_rate(now)
-        depth = (rate + BURST_REQUESTS) * share
+        depth = max(1.0, min((rate + BURST_REQUESTS) * share, MAX_BURST))
         self._tokens = min(
-            max(1.0, min(depth, MAX_BURST)),
+            depth,
             self._tokens + max(0.0, now - self._filled_at) * rate * share,
         )
         self._filled_at = now
-        return self._tokens
+        return self._tokens - min(kept, depth - 1.0)
 
     def spend(self, share: float, now: float) -> None:
         """Spends a token on a request that is sent."""
--- a/tests/forwarding/test_ratelimits.py
+++ b/tests/forwarding/test_ratelimits.py
@@ -346,3 +346,33 @@
     mutation(monkeypatch)
     with pytest.raises(AssertionError):
         MUTATIONS[mutation]()
+
+
+def test_a_wait_that_was_given_up_does_not_delay_later_parts():
+    world = make_limited_world(['s0-0', 's0-1'], 4.0)
+    patient = world.plain._replace(objective_s=1.4)
+    first = world.ask(patient)
+    world.perform(world.exchanges.withdraw(first, world.now))
+    world.run(0.9)
+    world.ask(patient)
+    world.ask(patient)
+    later = world.ask(patient)
+    world.run(2.0)
+    assert world.answers[later].answer.outcome == 'complete'
+
+
+@pytest.mark.parametrize('share', [0.01, 0.05, 0.1, 0.225])
+def test_a_less_urgent_class_is_served_or_refused_but_never_held(share):
+    world = make_limited_world(['s0-0', 's0-1'], 40.0)
+    world.board.limit_share = share
+    later = world.plain._replace(priority=world.plain.priority + 1)
+    asked = []
+    for _ in range(100):
+        asked.append(world.ask(later))
+        world.run(0.1)
+    world.run(2.0)
+    outcomes = [world.answers[n].answer.outcome for n in asked]
+    assert outcomes.count('complete') >= min(95, 0.7 * 2 * 40.0 * share * 10)
+    for number in asked:
+        received = world.answers[number]
+        assert received.took_s < 0.2 or received.answer.outcome == 'complete'
