Log a return of the store only if an era was known before

Cause: a process that starts while the store is in a later era logged that the store had come back.

Change: the first era that a process learns is not logged.

Measured: test_what_the_store_lost_is_neither_forgotten_nor_asked_for_endlessly now wants exactly one line a node.

--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -165,7 +165,7 @@
             rng,
         )
         self._reads_store = False
-        self._era = 0
+        self._era: int | None = None  # of the store, once it is known
         self._shutdown_started_at: float | None = None
         self._stopped = anyio.Event()
 
@@ -719,12 +719,14 @@
         self.board.limit_share = self.fleet.find_limit_share(now)
 
     def _log_new_era(self) -> None:
+        if not self.catalog.revision:
+            return
         era = catalogs.find_era(self.catalog.revision)
-        if era > self._era:
+        if self._era is not None and era > self._era:
             loguru.logger.bind(event='era', era=era, before=self._era).warning(
                 'the store came back from an older copy'
             )
-            self._era = era
+        self._era = era
 
     def _log_reader_change(self, rank: int, peer_checked_age_s: float) -> None:
         reads_store = self.follower.state != 'idle'
--- a/tests/adapter/test_drill.py
+++ b/tests/adapter/test_drill.py
@@ -65,6 +65,9 @@
         for index in range(1, NODES + 1):
             (versions,) = platform.list_versions(f'n{index}')
             assert versions[-1] == 3
+            log = platform.read_log(f'n{index}')
+            eras = [line for line in log if line.get('event') == 'era']
+            assert [line['era'] for line in eras] == [1]
 
 
 async def test_changes_after_the_return_are_in_force_though_revisions_repeat(
