Explain refusals for the rate that servers state

LIMIT: `balsamshore explain` and the advice of our own interface had no words for the reason rate_limited.

--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -9,6 +9,9 @@
 
 REASONS = {
     'no_replicas': 'too few of its shards had a usable backend server',
+    'rate_limited': (
+        'its backend servers take no more requests in time, as they state'
+    ),
     'no_time': 'the deadline of the caller left no time for it',
     'no_configuration': 'this node had no configuration yet',
     'no_route': 'no route of the configuration in force matches it',
@@ -33,7 +36,7 @@
     'attempts_used': 'was not retried: it had reached the limit of attempts',
     'sends_used': 'was not retried: it had been sent to enough servers',
     'time_used': 'was not retried: no time was left before the deadline',
-    'queued': 'was sent after waiting for a connection',
+    'queued': 'was sent after waiting for a connection or a rate limit',
     'refused': 'was refused by the server',
     'failed': 'failed on the server',
     'reset': 'failed: the server reset the connection',
--- a/packages/node/balsamshore_node/advice.py
+++ b/packages/node/balsamshore_node/advice.py
@@ -52,6 +52,11 @@
         'the request could not have finished within its deadline',
         'ask again after retry_after_s',
     ),
+    ('not run', 'rate_limited'): Explanation(
+        503,
+        'the backend servers take no more requests before its deadline',
+        'ask again after retry_after_s',
+    ),
     ('unknown', 'issuer_gone'): Explanation(
         502,
         'the VM that issued the request id has left or restarted; the '
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -88,3 +88,15 @@
     output = env.stdout.getvalue()
     assert 'n1: request f1: a request is not sent on' in output
     assert 'last server i-1, 3 crashes, stopped for 30.0 s' in output
+
+
+def test_a_refusal_for_the_rate_of_servers_is_explained(tmp_path):
+    path = tmp_path / 'n1.log'
+    refusal = {
+        **ANSWER, 'outcome': 'not run', 'reason': 'rate_limited',
+        'retry_after_s': 0.3, 'steps': [],
+    }  # fmt: skip
+    path.write_text(json.dumps(refusal) + '\n')
+    env = environment.Environment({}, io.StringIO(), io.StringIO())
+    assert core.main(['explain', 'r7', str(path)], env) == 0
+    assert 'its backend servers take no more requests' in env.stdout.getvalue()
