Record a rate as stated only where an answer carries it

The check was wrong; the program kept what it knew.

Change: the emulator notes a statement with the answers that reach the node whole. What it judges by is exactly what nodes were told.

--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -297,10 +297,6 @@
         fields = {'Server-Seal': seal, 'Request-Id': request_id}
         if server_id in self.server_limits:
             fields['Server-Limit'] = self.server_limits[server_id]
-        self.ledger.record_limit(
-            asyncio.get_running_loop().time(), server_id, peer,
-            self.server_limits.get(server_id),
-        )  # fmt: skip
         if mode == 'reset':
             return None
         if mode in endless.MANNERS:
@@ -314,6 +310,11 @@
                 listeners.encode(200, payload, fields)[:-20]
                 + listeners.CLOSE_MARKER
             )
+        # Only these answers reach the node whole.
+        self.ledger.record_limit(
+            asyncio.get_running_loop().time(), server_id, peer,
+            self.server_limits.get(server_id),
+        )  # fmt: skip
         if mode == 'unframed':
             lines = ''.join(f'{n}: {v}\r\n' for n, v in fields.items())
             head = f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
