Count servers that ended during a gap in the store's reads as one crash

Cause: a run without an answer was dated by its own end.

Change: a node notes until when nobody had read the store lately. A server that is found to have ended within 3.5 s after that has ended at that moment, for all runs that ended before it.

Result: two tests that failed before (1 crash in place of 4); the mutation that ignores the gap is noticed.

--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -213,6 +213,8 @@
         rate_reports: What was heard of the rate limits of servers since the
             last report to other nodes, by server id; `exchanges` adds entries
             and the host clears them when it sends the report.
+        store_gap_at: When it was last unknown what the store publishes, because
+            no node had read it lately, monotonic seconds; set by the host.
         ended_servers: Incarnations that ended since the last look; `catalog`
             adds them and `exchanges` takes them.
         quarantine: Requests under which servers crashed; `exchanges` reports
@@ -242,6 +244,7 @@
     rate_reports: dict[str, ratelimits.RateReport] = dataclasses.field(
         default_factory=dict
     )
+    store_gap_at: float = float('-inf')
     ended_servers: list[servers.EndedServer] = dataclasses.field(
         default_factory=list
     )
--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -13,6 +13,9 @@
 CRASH_CAUSES = frozenset(('reset', 'closed', 'truncated', 'ended'))
 # A suspect is hedged late: a crash shows before its server could be just slow.
 SUSPECT_HEDGE_DELAYS = 3.0
+# After a gap in the reads of the store, all nodes know within this time which
+# servers ended meanwhile: servers register again within 2 s.
+CATCH_UP_S = 3.5
 
 
 class Isolation:
@@ -110,9 +113,22 @@
         """
         runs = self._evidence.end(entry.incarnation, now)
         for fingerprint, run in runs.items():
-            self._record_crash(fingerprint, entry, run, now)
+            self._record_crash(
+                fingerprint, entry, self._find_crash_run(run, now), now
+            )
         return list(runs)
 
+    def _find_crash_run(self, run: evidence.Run, now: float) -> evidence.Run:
+        """Returns a run, dated by when its server may have ended.
+
+        Several servers may have ended together while nobody could read the
+        store, whenever the run was on each of them. Their crashes count as one.
+        """
+        gap_at = self._board.store_gap_at
+        if run.at > gap_at or now - gap_at > CATCH_UP_S:
+            return run
+        return evidence.Run(False, gap_at)
+
     def record_reply(self, entry: servers.ServerEntry) -> None:
         """Records that a server is alive."""
         self._evidence.clear_server(entry.incarnation)
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -690,6 +690,8 @@
         self._spread_quarantine()
         self._log_new_era()
         self._handle_changes(self.catalog.expire(now), 'grace')
+        if self._find_checked_age() > followers.STALE_READ_S:
+            self.board.store_gap_at = now
         rank = self.fleet.find_reader_rank(now)
         peer_checked_age_s = self.fleet.find_checked_age(now)
         call = self.follower.tick(
--- a/tests/forwarding/test_evidence.py
+++ b/tests/forwarding/test_evidence.py
@@ -198,6 +198,38 @@
     assert isinstance(world.servers['s0-0'].entry, servers.ServerEntry)
 
 
+def lose_runs_in_an_outage(world):
+    """Loses runs of a request on four servers while the store is away."""
+    for number in range(2, 4):
+        world.add_server('s0', f's0-{number}')
+        publish(world, f's0-{number}', address=f'127.0.0.{number}:1')
+    for server_id in tuple(world.servers):
+        lose_run(world, server_id=server_id)
+        world.run(2.0)
+    world.board.store_gap_at = world.now
+
+
+def test_servers_found_to_have_ended_after_an_outage_ended_at_one_moment():
+    world = make_world()
+    lose_runs_in_an_outage(world)
+    for server_id in tuple(world.servers):
+        world.run(0.4)
+        publish(world, server_id, born_ms=2)
+    assert count_crashes(world) == 4
+    assert world.board.quarantine.find_stop_end('f', world.now) is None
+    (notice,) = world.board.quarantine.list_reminders(world.now)
+    assert len(notice.crashes) == 1
+
+
+def test_servers_that_end_later_than_an_outage_ended_each_at_its_moment():
+    world = make_world()
+    lose_runs_in_an_outage(world)
+    world.run(isolation.CATCH_UP_S + 0.1)
+    for server_id in tuple(world.servers)[1:]:
+        publish(world, server_id, born_ms=2)
+    assert world.board.quarantine.find_stop_end('f', world.now) is not None
+
+
 def ignore_ends(patch):
     patch.setattr(evidence.Evidence, 'end', lambda *_: {})
 
@@ -214,6 +246,10 @@
     patch.setattr(evidence, 'RETENTION_S', 1e9)
 
 
+def ignore_outages(patch):
+    patch.setattr(isolation, 'CATCH_UP_S', -1.0)
+
+
 def take_leaving_for_a_crash(patch):
     register = catalogs.Catalog._unregister
 
@@ -233,6 +269,9 @@
         test_a_request_that_is_answered_later_has_not_crashed_a_server
     ),
     keep_runs_forever: test_an_end_long_after_a_lost_run_shows_nothing,
+    ignore_outages: (
+        test_servers_found_to_have_ended_after_an_outage_ended_at_one_moment
+    ),
     take_leaving_for_a_crash: test_a_drained_server_that_leaves_has_not_crashed,
 }
 
