--- a/packages/core/balsamshore_core/blackboard.py
+++ b/packages/core/balsamshore_core/blackboard.py
@@ -572,6 +572,19 @@
     last_step_at: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class ProcessorSection:
+    """Whether this node gets enough processor time. Writer: `engine`.
+
+    Attributes:
+        lag_s: By how much timers are late, decayed since the latest one.
+        measured_at: When `lag_s` was last updated, monotonic seconds.
+    """
+
+    lag_s: float = 0.0
+    measured_at: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Blackboard:
     """The complete state of a node."""
@@ -599,3 +612,6 @@
     lifecycle: LifecycleSection = dataclasses.field(
         default_factory=LifecycleSection
     )
+    processor: ProcessorSection = dataclasses.field(
+        default_factory=ProcessorSection
+    )
--- a/packages/core/balsamshore_core/engine.py
+++ b/packages/core/balsamshore_core/engine.py
@@ -28,6 +28,7 @@
 from balsamshore_core.connections import silence
 
 CLOCK_JUMP_THRESHOLD_S = 3.0
+LAG_HALF_LIFE_S = 0.2  # decay of the processor's lag
 ACTION_TYPES = frozenset(typing.get_args(actions.Action))
 CONTROLLERS: tuple['Controller', ...] = (
     lifecycle,
@@ -91,12 +92,23 @@
         self._last_step_at = now
         if gap > CLOCK_JUMP_THRESHOLD_S:
             self._deliver(events.ClockJumped(gap), now, output)
+        self._measure_lag(now)
         while self._timers and self._timers[0][0] <= now:
             _, _, due = heapq.heappop(self._timers)
             self._deliver(due, now, output)
         self._deliver(event, now, output)
         return output
 
+    def _measure_lag(self, now: float) -> None:
+        """Measures by how much the earliest timer is late."""
+        processor = self.board.processor
+        elapsed_s = now - processor.measured_at
+        lag_s = processor.lag_s * 0.5 ** (elapsed_s / LAG_HALF_LIFE_S)
+        if self._timers:
+            lag_s = max(lag_s, now - self._timers[0][0])
+        processor.lag_s = lag_s
+        processor.measured_at = now
+
     def next_due(self) -> float | None:
         """Returns the expiry time of the earliest timer, or None."""
         return self._timers[0][0] if self._timers else None
