Allow for the processor's lag in proportion, also for silent connections

Change: three times the lag is what this node may take for a reply itself. A hedge, a suspicion and a failed check wait until then; a query with less time is refused.

--- a/packages/core/balsamshore_core/admission.py
+++ b/packages/core/balsamshore_core/admission.py
@@ -19,6 +19,7 @@
 from balsamshore_core import blackboard
 from balsamshore_core import commands
 from balsamshore_core import events
+from balsamshore_core import processor
 from balsamshore_core import requestids
 from balsamshore_core.connections import pooling
 
@@ -31,9 +32,6 @@
 FLOOR_RISE_PER_S = 0.02  # as a share of `floor_s`
 DURATION_SMOOTHING = 0.1
 MAX_WAITING = 512  # queries per index
-# Turns of the event loop in a query: the canary's reply, the other parts',
-# and the answer; each may come as late as timers do.
-LAGS_PER_QUERY = 3.0
 MIN_RETRY_AFTER_S = 0.05
 # Answers with these reasons do not adapt the concurrency limit.
 UNSAMPLED_REASONS = frozenset(('withdrawn', 'quarantined'))
@@ -61,11 +59,11 @@
     section = board.admission
     gate = _get_gate(board, target.index_name, now)
     allowed_s = arrival.deadline_s or target.deadline_s
-    lag_s = board.processor.lag_s
-    if LAGS_PER_QUERY * lag_s > allowed_s:
+    reading_s = processor.find_reading_delay(board)
+    if reading_s > allowed_s:
         _get_tally(board, arrival.class_name).not_run += 1
         yield requestids.refuse(
-            arrival.query_id, 'overloaded', max(MIN_RETRY_AFTER_S, lag_s)
+            arrival.query_id, 'overloaded', max(MIN_RETRY_AFTER_S, reading_s)
         )
         return
     latest_start = now + max(
--- a/packages/core/balsamshore_core/connections/silence.py
+++ b/packages/core/balsamshore_core/connections/silence.py
@@ -16,6 +16,7 @@
 from balsamshore_core import blackboard
 from balsamshore_core import commands
 from balsamshore_core import events
+from balsamshore_core import processor
 from balsamshore_core.connections import pooling
 
 SILENCE_MIN_S = 0.06
@@ -34,6 +35,13 @@
     connection = section.connections.get(int(message.key))
     if connection is None or connection.attempt_id != message.mark:
         return
+    reading_s = processor.find_reading_delay(board)
+    quiet_s = now - max(connection.sent_at, connection.dropped_at)
+    if quiet_s < reading_s:
+        yield commands.StartTimer(
+            now + max(SILENCE_MIN_S, reading_s - quiet_s), message
+        )
+        return
     pool = section.pools[connection.server]
     if connection.dropped_at:
         if _is_silent(board, connection, pool, now):
@@ -154,6 +162,14 @@
     # The timer of an earlier check of this connection is ignored.
     if now - connection.sent_at < pooling.CHECK_TIMEOUT_S * 0.9:
         return
+    reading_s = processor.find_reading_delay(board)
+    checked_s = now - connection.sent_at
+    if checked_s < reading_s:
+        yield commands.StartTimer(
+            connection.sent_at + max(reading_s, checked_s + SILENCE_MIN_S),
+            message,
+        )
+        return
     pool = section.pools[connection.server]
     is_new = connection.progress_at == 0.0
     if not is_new:
--- a/packages/core/balsamshore_core/hedges.py
+++ b/packages/core/balsamshore_core/hedges.py
@@ -13,12 +13,11 @@
 from balsamshore_core import budgets
 from balsamshore_core import commands
 from balsamshore_core import events
+from balsamshore_core import processor
 from balsamshore_core import queries
 from balsamshore_core import replicas
 
 HEDGE_RECHECK_S = 0.03
-# With a larger lag, replies that arrived may not have been read yet.
-MAX_HEDGE_LAG_S = 0.02
 
 Messages = collections.abc.Iterator[Any]
 
@@ -30,13 +29,15 @@
     attempt = section.attempts.get(int(message.key))
     if attempt is None:
         return
-    if board.processor.lag_s > MAX_HEDGE_LAG_S:
+    waited = now - attempt.sent_at
+    reading_s = processor.find_reading_delay(board)
+    if waited < reading_s:
         yield commands.StartTimer(
-            now + HEDGE_RECHECK_S, events.TimerDue('hedge', attempt.attempt_id)
+            attempt.sent_at + max(reading_s, waited + HEDGE_RECHECK_S),
+            events.TimerDue('hedge', attempt.attempt_id),
         )
         return
     budget = _choose_hedge_budget(board, attempt)
-    waited = now - attempt.sent_at
     yield commands.AttemptSlow(attempt.server, waited)
     query = section.queries[attempt.query_id]
     shard = query.shards[attempt.shard]
@@ -74,7 +75,7 @@
     """Retries an attempt whose connection is suspected to be half-open."""
     section = board.queries
     attempt = section.attempts.get(message.attempt_id)
-    if attempt is None or board.processor.lag_s > MAX_HEDGE_LAG_S:
+    if attempt is None:
         return
     query = section.queries[attempt.query_id]
     shard = query.shards[attempt.shard]
