Reach servers from a configured address, so that tests tell nodes apart

Cause: in tests/adapter all nodes reach the servers from 127.0.0.1, so no rule that counts for each node can be judged, and excuses hold for all nodes alike.

Change: an optional setting source_address, an IPv4 address, from which backend servers are reached; without it the kernel chooses, as before. The operators' template leaves it out. The emulator sets each node's own address.

--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -189,6 +189,7 @@
             self._handle_reply,
             self._handle_loss,
             self._handle_check,
+            self.settings.source_address,
         )
         self._performers: dict[type, collections.abc.Callable] = {
             actions.Send: self._send_attempt,
--- a/packages/node/balsamshore_node/forwarding/settings.py
+++ b/packages/node/balsamshore_node/forwarding/settings.py
@@ -22,6 +22,8 @@
         grace_s: Time between the stop signal and the kill.
         log_level: Minimum level of logged messages.
         first_start: Whether the whole fleet starts for the first time.
+        source_address: IP address from which backend servers are reached, or
+            '' for the one that the kernel chooses.
     """
 
     name: str
@@ -36,3 +38,4 @@
     grace_s: float
     log_level: str = 'INFO'
     first_start: bool = False
+    source_address: str = ''
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -164,6 +164,7 @@
         on_reply: OnReply,
         on_loss: OnLoss,
         on_check: OnCheck,
+        source_address: str = '',
     ):
         self.dialect = dialect
         self.opened = 0
@@ -172,6 +173,7 @@
         self._on_reply = on_reply
         self._on_loss = on_loss
         self._on_check = on_check
+        self._source = (source_address, 0) if source_address else None
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._busy: dict[int, Connection] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -310,7 +312,7 @@
         self.opened += 1
         try:
             transport, _ = await self._loop.create_connection(
-                lambda: connection, host, port
+                lambda: connection, host, port, local_addr=self._source
             )
         except OSError:
             self.drop(connection, 'unreachable')
@@ -345,7 +347,7 @@
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_S):
                 transport, _ = await self._loop.create_connection(
-                    asyncio.Protocol, host, port
+                    asyncio.Protocol, host, port, local_addr=self._source
                 )
             transport.abort()
             log.info('a lost connection is no crash: it accepts a new one')
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -352,13 +352,14 @@
             values[field] = f'{host}:{port}' if 'listen' in field else port
         text = (ROOT / 'deploy' / 'settings.json').read_text()
         path = self.folder / f'{name}.json'
-        path.write_text(
-            re.sub(
-                r'\{\{([a-zA-Z.0-9]+)\|json\}\}',
-                lambda match: json.dumps(values[match[1]]),
-                text,
-            )
+        filled = re.sub(
+            r'\{\{([a-zA-Z.0-9]+)\|json\}\}',
+            lambda match: json.dumps(values[match[1]]),
+            text,
         )
+        # So that servers can tell the nodes apart.
+        fields = {**json.loads(filled), 'source_address': host}
+        path.write_text(json.dumps(fields))
         return path
 
     def start_node(self, name, index):
--- a/tests/adapter/test_program.py
+++ b/tests/adapter/test_program.py
@@ -321,3 +321,32 @@
         assert b' 408 ' in line
         writer.close()
         assert (await platform.send_request(1, '/p/x')).status == 200
+
+
+async def test_servers_are_reached_from_the_configured_address(tmp_path):
+    async with start_platform(tmp_path, network='127.241') as platform:
+        for index in (1, 2):
+            for target in ('/p/x', '/q/x'):
+                await platform.send_request(index, target)
+        sent = {each.request_id: each.node for each in platform.ledger.sent}
+        assert {
+            (sent[each.request_id], each.node_host)
+            for each in platform.ledger.arrivals
+        } == {(index, f'127.241.2.{index}') for index in (1, 2)}
+
+
+def test_an_invalid_source_address_is_reported(tmp_path):
+    platform = emulator.Emulator(tmp_path)
+    path = platform.write_settings('n1', 1)
+    fields = {**json.loads(path.read_text()), 'source_address': 'here'}
+    path.write_text(json.dumps(fields))
+    result = subprocess.run(
+        [sys.executable, '-m', 'balsamshore_platform'],
+        env={**os.environ, 'BALSAMSHORE_CONFIG': str(path)},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=20.0,
+    )
+    assert result.returncode == 2
+    assert "'here'" in result.stderr
