Send nothing new to servers that say in their answers that they leave

Change: read in platform/, decided in core (departures, statements): from the first such answer on this incarnation gets nothing new while another server of its service can be used; if all leave, they are used for 0.6 of the drain time, since they serve until its end and callers would get nothing otherwise, then requests are refused at once. A later answer without it, a late answer of a former incarnation, a returning entry change nothing; a new incarnation is not affected. Active nodes tell each other (format 5 of datagrams, dropped by earlier releases). The decisions about waits that servers ask for are in the same module; nothing reads that header yet. The ledger judges both for each node. On our own interface x-draining on replies does the same already.

--- a/packages/core/balsamshore_core/forwarding/actions.py
+++ b/packages/core/balsamshore_core/forwarding/actions.py
@@ -17,6 +17,9 @@
         body: The complete body.
         rate_limit: Requests a second that the server takes from all nodes
             together, `ratelimits.UNREADABLE`, or None if it states no limit.
+        draining: Whether the server states that it drains.
+        wait_s: For how long the server wants no request from this node, or 0.
+        unreadable: A header about the server whose value is invalid, or ''.
     """
 
     status: int
@@ -26,6 +29,9 @@
     head: bytes
     body: bytes
     rate_limit: float | None = None
+    draining: bool = False
+    wait_s: float = 0.0
+    unreadable: str = ''
 
     @property
     def failed(self) -> bool:
--- a/packages/core/balsamshore_core/forwarding/answers.py
+++ b/packages/core/balsamshore_core/forwarding/answers.py
@@ -49,7 +49,7 @@
         reason,
         retry_after_s=max(
             choose_retry_delay(exchange.deadline_at - now, rng),
-            round(exchange.stopped_until - now, 3),
+            round(exchange.unavailable_until - now, 3),
         ),
         steps=steps,
     )
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -1,17 +1,31 @@
 """The state of a forwarding node, shared by its modules."""
 
 import collections
+import collections.abc
 import dataclasses
 import random
 import typing
 
 from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import actions
+from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import quarantine as quarantines
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
 
+DEFAULT_DRAIN_S = 3.0  # unless the settings say otherwise
+MAX_NOTES = 64  # between two looks of the host
+
+
+class Note(typing.NamedTuple):
+    """A statement of a server, for the log."""
+
+    what: str
+    server_id: str
+    service: str
+    detail: str = ''
+
 
 class Part:
     """The progress of one service of an exchange.
@@ -114,7 +128,8 @@
         running: Number of attempts that a server may be executing.
         may_have_run: Whether a finished attempt may have been executed.
         fingerprint: What its repeats have in common, or '' if unknown.
-        stopped_until: Until when the request is quarantined.
+        unavailable_until: Until when the request is known not to be served: it
+            is quarantined, or its servers want no requests.
     """
 
     __slots__ = (
@@ -131,7 +146,7 @@
         'route',
         'running',
         'steps',
-        'stopped_until',
+        'unavailable_until',
     )
 
     def __init__(
@@ -146,7 +161,7 @@
     ):
         self.exchange_id = exchange_id
         self.fingerprint = fingerprint
-        self.stopped_until = now
+        self.unavailable_until = now
         self.route = route
         self.arrived_at = now
         self.deadline_at = deadline_at
@@ -210,6 +225,12 @@
         slowness_reports: Slowness, by id, of the servers found slow since
             the last report to other nodes; `exchanges` adds entries and the
             host clears them when it sends the report.
+        departed: Servers that said that they drain; see `departures`.
+        departure_reports: What was heard of draining servers since the last
+            report to other nodes, by server id; `statements` adds entries and
+            the host clears them when it sends the report.
+        notes: What servers stated, for the log; `statements` adds entries and
+            the host takes them.
         rate_reports: What was heard of the rate limits of servers since the
             last report to other nodes, by server id; `exchanges` adds entries
             and the host clears them when it sends the report.
@@ -241,6 +262,15 @@
         default_factory=ExchangeSection
     )
     slowness_reports: dict[str, float] = dataclasses.field(default_factory=dict)
+    departed: departures.Departures = dataclasses.field(
+        default_factory=lambda: departures.Departures(DEFAULT_DRAIN_S)
+    )
+    departure_reports: dict[str, departures.DepartureReport] = (
+        dataclasses.field(default_factory=dict)
+    )
+    notes: collections.deque[Note] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_NOTES)
+    )
     rate_reports: dict[str, ratelimits.RateReport] = dataclasses.field(
         default_factory=dict
     )
@@ -255,5 +285,16 @@
         default_factory=collections.Counter
     )
 
+    def list_usable(
+        self, service: str, now: float
+    ) -> collections.abc.Collection[servers.Server]:
+        """Lists the servers of a service that may get a new request."""
+        candidates = self.registry.by_service.get(service)
+        if not candidates:
+            return ()
+        if not self.departed:
+            return candidates.values()
+        return self.departed.list_usable(candidates.values(), now)
+
 
 Actions = list[typing.Any]
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -16,11 +16,13 @@
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import delays
+from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import isolation
 from balsamshore_core.forwarding import rates
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
+from balsamshore_core.forwarding import statements
 from balsamshore_core.forwarding import suspects
 from balsamshore_core.forwarding import timers
 from balsamshore_core.forwarding import waitqueues
@@ -44,6 +46,7 @@
         self._delays = delays.Delays()
         self._isolation = isolation.Isolation(board)
         self._rates = rates.Rates(board, self._wait_queues, self._timers)
+        self._statements = statements.Statements(board, self._timers)
 
     def start(
         self,
@@ -79,13 +82,13 @@
         self._state.exchanges[exchange_id] = exchange
         output: boards.Actions = []
         self._board.counters['requests'] += 1
-        limited = self._rates.list_parts_out(exchange, now)
-        refusal = self._find_refusal(exchange, len(limited), now)
+        parts_out = self._list_parts_out(exchange, now)
+        refusal = self._find_refusal(exchange, parts_out, now)
         if refusal:
             self._finish(exchange, refusal, now, output)
             return output
-        for part in limited:
-            self._fail_part(part, 'rate_limited', now, output)
+        for part, reason in parts_out:
+            self._fail_part(part, reason, now, output)
         for part in exchange.parts:
             self._get_retry_budget(part.service).record_first_attempt(now)
             if part.is_open():
@@ -123,6 +126,7 @@
         if not reply.misdirected:
             self._isolation.record_reply(server.entry)
             self._rates.record_reply(attempt, reply, now)
+            self._statements.record(server, reply, now)
         if not attempt.abandoned:
             self._evaluate_reply(attempt, reply, now, output)
         self._continue_waiting(part, now, output)
@@ -255,6 +259,7 @@
             'hedge': self._handle_hedge_timer,
             'round': self._handle_round_timer,
             'rate': self._handle_rate_timer,
+            'reopening': self._send_waiting,
             'objective': self._handle_objective_timer,
             'deadline': self._handle_deadline_timer,
             'linger': self._handle_linger_timer,
@@ -308,21 +313,47 @@
         """Applies another node's reports about rate limits of servers."""
         self._rates.apply_reports(reports, now)
 
+    def apply_departure_reports(
+        self,
+        reports: collections.abc.Mapping[str, departures.DepartureReport],
+        now: float,
+    ) -> None:
+        """Applies another node's reports about draining servers."""
+        self._statements.apply_reports(reports, now)
+
+    def _list_parts_out(
+        self, exchange: boards.Exchange, now: float
+    ) -> list[tuple[boards.Part, str]]:
+        """Lists the parts that no server may get in time, and why."""
+        closed = [
+            part
+            for part in exchange.parts
+            if self._statements.is_out(part, now)
+        ]
+        parts_out = [(part, 'servers_closed') for part in closed]
+        for part in self._rates.list_parts_out(exchange, now):
+            if part not in closed:
+                parts_out.append((part, 'rate_limited'))
+        return parts_out
+
     def _find_refusal(
-        self, exchange: boards.Exchange, limited: int, now: float
+        self,
+        exchange: boards.Exchange,
+        parts_out: list[tuple[boards.Part, str]],
+        now: float,
     ) -> str:
         """Returns why a request cannot be served now, or ''.
 
         Args:
             exchange: The request.
-            limited: Number of its parts that no server may get in time.
+            parts_out: Its parts that no server may get in time, and why.
             now: Monotonic seconds.
         """
         if self._isolation.is_stopped(exchange, now):
             return 'quarantined'
-        by_service = self._board.registry.by_service
         reachable = sum(
-            1 for part in exchange.parts if by_service.get(part.service)
+            bool(self._board.list_usable(part.service, now))
+            for part in exchange.parts
         )
         if not reachable or (
             reachable
@@ -331,8 +362,8 @@
             return 'no_replicas'
         if exchange.deadline_at <= exchange.arrived_at:
             return 'no_time'
-        if limited and answers.is_floor_missed(exchange, limited):
-            return 'rate_limited'
+        if parts_out and answers.is_floor_missed(exchange, len(parts_out)):
+            return parts_out[0][1]
         return ''
 
     def _dispatch_part(
@@ -354,7 +385,7 @@
             return False
         if kind != 'hedge' and self._isolation.hold(part, now):
             return False
-        candidates = self._board.registry.by_service.get(part.service)
+        candidates = self._board.list_usable(part.service, now)
         if not candidates:
             if not part.live:
                 self._fail_part(part, 'no_replicas', now, output)
@@ -363,13 +394,17 @@
         if server is None:
             if kind == 'hedge':
                 return False
-            if all(name in part.tried for name in candidates):
+            if not part.live and self._statements.is_out(part, now):
+                self._fail_part(part, 'servers_closed', now, output)
+                return False
+            if all(each.entry.server_id in part.tried for each in candidates):
                 waitqueues.begin_round(part, now)
                 self._timers.start(
                     part.not_before, 'round', part.exchange.exchange_id
                 )
             self._wait_queues.add(part)
             self._rates.wait(part, now)
+            self._statements.wait(part, now)
             return False
         self._send_attempt(part, server, kind, now, output)
         return True
@@ -378,7 +413,7 @@
         self, part: boards.Part, now: float
     ) -> servers.Server | None:
         return servers.choose_server(
-            self._board.registry.by_service.get(part.service, {}).values(),
+            self._board.list_usable(part.service, now),
             part.tried,
             self._board.failure_domain,
             self.find_connection_share(part.service),
@@ -463,6 +498,7 @@
             server = self._choose_server(part, now)
             if server is None:
                 self._rates.wait(part, now)
+                self._statements.wait(part, now)
                 return False
             self._send_attempt(part, server, 'queued', now, output)
             return True
@@ -733,7 +769,7 @@
 
     def _is_timer_relevant(self, timer: timers.Timer) -> bool:
         """Returns whether the attempt or exchange of a timer still exists."""
-        if timer.kind == 'rate':
+        if timer.kind in ('rate', 'reopening'):
             return True  # for whatever waits then
         is_for_attempt = timer.kind in ('hedge', 'linger')
         state = self._state
--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -33,7 +33,7 @@
         )
         if ends_at is None:
             return False
-        exchange.stopped_until = ends_at
+        exchange.unavailable_until = ends_at
         return True
 
     def hold(self, part: boards.Part, now: float) -> bool:
--- a/packages/core/balsamshore_core/forwarding/rates.py
+++ b/packages/core/balsamshore_core/forwarding/rates.py
@@ -13,6 +13,7 @@
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import routes
+from balsamshore_core.forwarding import servers
 from balsamshore_core.forwarding import timers
 from balsamshore_core.forwarding import waitqueues
 
@@ -110,7 +111,7 @@
         share = self._board.limit_share
         kept = self.find_kept_tokens(part.exchange.route)
         waits = []
-        for server in self._list_servers(part.service):
+        for server in self._list_servers(part.service, now):
             missing = 1.0 - server.count_tokens(share, now, kept)
             if server.limit is not None and missing > 0:
                 waits.append(missing / (server.limit.find_rate(now) * share))
@@ -127,7 +128,7 @@
         share = self._board.limit_share
         tokens = rate = 0.0
         limits = []
-        for server in self._list_servers(part.service):
+        for server in self._list_servers(part.service, now):
             tokens += max(0.0, server.count_tokens(share, now, kept))
             limits.append(server.limit)
         if not any(limits):
@@ -141,5 +142,9 @@
         ahead = self._wait_queues.count_waiting(part.service, route.priority)
         return max(0.0, 1.0 + ahead - tokens) / rate
 
-    def _list_servers(self, service: str):
-        return self._board.registry.by_service.get(service, {}).values()
+    def _list_servers(self, service: str, now: float) -> list[servers.Server]:
+        return [
+            server
+            for server in self._board.list_usable(service, now)
+            if server.closed_until <= now
+        ]
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -90,12 +90,14 @@
         slowness: Latency relative to the typical latency, at `sampled_at`.
         slow_reply_at: When the last reply was received, if it was slow.
         suspects: Number of attempts in flight that may crash it.
+        closed_until: Until when it wants no request from this node.
         failed_share: Share of its recent requests that failed, were lost or
             were refused.
     """
 
     __slots__ = (
         'accepts_connections',
+        'closed_until',
         'ejected_until',
         'entry',
         'failed_share',
@@ -121,6 +123,7 @@
         self.sampled_at = now
         self.slow_reply_at = -1e9
         self.ejected_until = 0.0
+        self.closed_until = 0.0
         self.failures = 0
         self.failed_share = 0.0
         self.failure_sampled_at = now
@@ -240,6 +243,13 @@
         self._record_outcome(1.0, now)
         self.ejected_until = max(self.ejected_until, now + ejection_s)
 
+    def record_wait(self, until: float) -> None:
+        """Records until when the server wants no request from this node.
+
+        No other reply ends that time, only a new incarnation does.
+        """
+        self.closed_until = max(self.closed_until, until)
+
     def record_reset(self) -> None:
         """Records that the server reset a connection without a reply."""
         self.accepts_connections = False
@@ -339,13 +349,15 @@
 
     Returns:
         The server, or None when every server was tried, has reached the
-        connection limit or may get no more requests now.
+        connection limit, wants no request now or may get no more.
     """
     best, best_cost = None, 0.0
     for server in servers:
         entry = server.entry
         if server.in_flight >= max_in_flight or entry.server_id in tried:
             continue
+        if server.closed_until > now:
+            continue
         if (
             server.limit is not None
             and server.count_tokens(limit_share, now, kept_tokens) < 1.0
--- a/packages/node/balsamshore_node/forwarding/gossip.py
+++ b/packages/node/balsamshore_node/forwarding/gossip.py
@@ -14,6 +14,7 @@
 
 from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import catalog
+from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import fleet
 from balsamshore_core.forwarding import suspects
 
@@ -24,10 +25,13 @@
 NOTICES_FORMAT_VERSION = 3
 # With rate reports at the end. Earlier releases drop it as well.
 RATES_FORMAT_VERSION = 4
+# With reports of draining servers at the end, likewise.
+DEPARTURES_FORMAT_VERSION = 5
 FORMAT_VERSIONS = (
     FORMAT_VERSION,
     NOTICES_FORMAT_VERSION,
     RATES_FORMAT_VERSION,
+    DEPARTURES_FORMAT_VERSION,
 )
 MALFORMED_LOG_INTERVAL = 1_000  # one in this many malformed datagrams is logged
 
@@ -50,9 +54,12 @@
         notices: Requests under which servers crashed.
         rate_reports: What the sender heard of the rate limits of backend
             servers, by server id.
+        departure_reports: What the sender heard of draining backend servers,
+            by server id.
     """
 
     __slots__ = (
+        'departure_reports',
         'heartbeats',
         'is_snapshot',
         'items',
@@ -80,7 +87,12 @@
         notices: collections.abc.Sequence[suspects.Notice] = (),
         rate_reports: collections.abc.Mapping[str, ratelimits.RateReport]
         | None = None,
+        departure_reports: collections.abc.Mapping[
+            str, departures.DepartureReport
+        ]
+        | None = None,
     ):
+        self.departure_reports = dict(departure_reports or {})
         self.notices = notices
         self.rate_reports = dict(rate_reports or {})
         self.records = records
@@ -107,6 +119,16 @@
         payload.requested_keys,
         payload.relay,
     )
+    if payload.departure_reports:
+        return msgpack.packb(
+            (
+                DEPARTURES_FORMAT_VERSION,
+                *fields,
+                payload.notices,
+                payload.rate_reports,
+                payload.departure_reports,
+            )
+        )
     if payload.rate_reports:
         return msgpack.packb(
             (
@@ -147,6 +169,7 @@
             )
         notices = rest[0] if version >= NOTICES_FORMAT_VERSION else ()
         rates = rest[1] if version >= RATES_FORMAT_VERSION else {}
+        departed = rest[2] if version >= DEPARTURES_FORMAT_VERSION else {}
         return Payload(
             tuple(fleet.NodeRecord(*record) for record in records),
             [catalog.Item(*item) for item in items],
@@ -162,6 +185,12 @@
                 str(server_id): _read_rate_report(*report)
                 for server_id, report in rates.items()
             },
+            {
+                str(server_id): departures.DepartureReport(
+                    int(born_ms), float(age_s)
+                )
+                for server_id, (born_ms, age_s) in departed.items()
+            },
         )
     except (
         AttributeError,
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import time
+import typing
 from typing import NamedTuple
 
 import anyio
@@ -44,7 +45,7 @@
 TICKS_PER_SERVER_REPORT = 2  # sent to active nodes every 0.2 s, if any
 TICKS_PER_USAGE_SAMPLE = 10
 TICKS_PER_RELOAD = 20  # settings may change without a signal
-MAX_RATE_REPORTS = 30  # in a datagram, about 1.3 KB
+MAX_SERVER_REPORTS = 30  # in a datagram, about 1.3 KB
 NEWS_DELAY_S = 0.005  # servers often crash together
 MAX_ACCEPT_DELAY_S = 0.3  # callers wait this long for the first configuration
 MAX_CHANGE_LINES = 8  # more changes at once share one log line
@@ -59,6 +60,12 @@
     'cleared': 'a backend server answered a suspected request',
 }
 
+STATEMENTS = {
+    'draining': 'a backend server says that it drains; it gets nothing new',
+    'closed': 'a backend server wants no request from this node for a while',
+    'unreadable': 'a backend server states what cannot be read; ignored',
+}
+
 
 class PendingRequest(NamedTuple):
     """A caller's request that has no answer yet."""
@@ -114,6 +121,7 @@
         self.board = boards.Board(
             settings.failure_domain, rng, settings.retry_budget_limits, now
         )
+        self.board.departed.drain_s = settings.drain_s
         self.fleet = fleets.Fleet(
             fleets.NodeRecord(
                 settings.name,
@@ -412,6 +420,7 @@
             self._send_message(message)
         self.exchanges.apply_slowness_reports(payload.slowness_reports, now)
         self.exchanges.apply_rate_reports(payload.rate_reports, now)
+        self.exchanges.apply_departure_reports(payload.departure_reports, now)
         if payload.notices:
             self._perform(self.exchanges.apply_notices(payload.notices, now))
         old_revision = self.catalog.revision
@@ -572,10 +581,12 @@
             self._gossip.send(peer_host, datagram)
 
     def _send_server_reports(self, now: float) -> None:
-        """Sends reports of slow and limited servers to the active nodes."""
+        """Sends what was seen of servers to the active nodes."""
         slowness_reports = self.board.slowness_reports
         rate_reports = self.board.rate_reports
+        departure_reports = self.board.departure_reports
         self.board.slowness_reports, self.board.rate_reports = {}, {}
+        self.board.departure_reports = {}
         own_records = (self.fleet.own_record,)
         revision = self.catalog.revision
         payloads = []
@@ -587,16 +598,16 @@
                     slowness_reports=slowness_reports,
                 )
             )
-        names = list(rate_reports)
-        for start in range(0, len(names), MAX_RATE_REPORTS):
-            batch = names[start : start + MAX_RATE_REPORTS]
-            payloads.append(
-                gossip.Payload(
-                    own_records,
-                    revision=revision,
-                    rate_reports={name: rate_reports[name] for name in batch},
-                )
+        payloads += [
+            gossip.Payload(own_records, revision=revision, rate_reports=batch)
+            for batch in _split_reports(rate_reports)
+        ]
+        payloads += [
+            gossip.Payload(
+                own_records, revision=revision, departure_reports=batch
             )
+            for batch in _split_reports(departure_reports)
+        ]
         if not payloads:
             return
         hosts = [r.host for r in self.fleet.list_alive(now) if r.active]
@@ -626,6 +637,16 @@
                 event='quarantine', **decision._asdict()
             ).warning(QUARANTINE_DECISIONS[decision.what])
 
+    def _log_statements(self) -> None:
+        while self.board.notes:
+            note = self.board.notes.popleft()
+            loguru.logger.bind(
+                event='statement',
+                server=note.server_id,
+                service=note.service,
+                detail=note.detail,
+            ).info(STATEMENTS[note.what])
+
     def _find_checked_age(self) -> float:
         """Returns seconds since this or another node last checked the store."""
         now = self.now()
@@ -689,6 +710,7 @@
         if ticks % TICKS_PER_RELOAD == 0:
             self._reload_settings()
         self._spread_quarantine()
+        self._log_statements()
         self._log_new_era()
         self._handle_changes(self.catalog.expire(now), 'grace')
         if self._find_checked_age() > followers.STALE_READ_S:
@@ -884,3 +906,14 @@
     def is_ready(self) -> bool:
         """Returns whether callers may be sent to this node."""
         return self.fleet.own_record.state == 'serving'
+
+
+def _split_reports(
+    reports: collections.abc.Mapping[str, typing.Any],
+) -> list[dict[str, typing.Any]]:
+    """Splits reports by server id into those of one datagram each."""
+    names = list(reports)
+    return [
+        {name: reports[name] for name in names[start:][:MAX_SERVER_REPORTS]}
+        for start in range(0, len(names), MAX_SERVER_REPORTS)
+    ]
--- a/packages/node/balsamshore_node/forwarding/settings.py
+++ b/packages/node/balsamshore_node/forwarding/settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from balsamshore_core.forwarding import board
 from balsamshore_core.forwarding import retrybudgets
 
 
@@ -24,6 +25,7 @@
         first_start: Whether the whole fleet starts for the first time.
         source_address: IP address from which backend servers are reached, or
             '' for the one that the kernel chooses.
+        drain_s: How long a server goes on serving once it says that it drains.
     """
 
     name: str
@@ -39,3 +41,4 @@
     log_level: str = 'INFO'
     first_start: bool = False
     source_address: str = ''
+    drain_s: float = board.DEFAULT_DRAIN_S
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -37,6 +37,8 @@
 CRASH_DOWN_S = 0.6
 CRASH_MANNERS = ('closed', 'truncated', 'supervised', 'silent')
 IN_FORCE = re.compile(r'configuration (\d+) is in force')
+# Whose answers reach the node as they are.
+WHOLE_MODES = ('ok', 'full', 'slow', 'slower', 'late_extra')
 PROCESSING_S = {'slow': 0.4, 'slower': 2.5}  # by mode of the server
 
 
@@ -65,6 +67,10 @@
             `slower`, or one of `endless.MANNERS`: bytes until the caller
             closes.
         server_limits: Values of the header `Server-Limit`, by server id.
+        leaving_servers: Ids of the servers that say so in all their answers;
+            `add_server` and a crash make it a new incarnation.
+        server_waits: Values of `Retry-After` with which servers refuse all
+            requests, by server id.
         crashing_targets: Targets of requests that crash each server that
             executes them; the server is back after `crash_down_s` with a new
             `born`.
@@ -91,6 +97,8 @@
         self.store_host = f'{network}.0.1'
         self.server_modes = {}
         self.server_limits = {}
+        self.leaving_servers = set()
+        self.server_waits = {}
         self.crashing_targets = set()
         self.crash_manner = 'closed'
         self.crash_down_s = CRASH_DOWN_S
@@ -238,6 +246,8 @@
         await listening.restart()
         entry = self.servers[server_id]
         entry['born'] += 1
+        self.leaving_servers.discard(server_id)
+        self.server_waits.pop(server_id, None)
         await self.put(f'servers/{server_id}', entry)
 
     async def report_server(self, server_id):
@@ -256,7 +266,10 @@
         target = raw.target.decode()
         mode = self.server_modes[server_id]
         misdirected = headers.get('target-instance', server_id) != server_id
-        executed = not misdirected and mode not in ('dark', 'full')
+        wait = self.server_waits.get(server_id)
+        executed = (
+            not misdirected and mode not in ('dark', 'full') and wait is None
+        )
         now = asyncio.get_running_loop().time()
         if not misdirected:
             deadline_ms = headers.get('deadline-ms')
@@ -272,8 +285,9 @@
             await asyncio.sleep(60)
         if misdirected:
             return listeners.encode(421, b'', {'Instance-Id': server_id})
-        if mode == 'full':
-            return listeners.encode(503, b'', {'Not-Executed': '1'})
+        said = self._record_statements(server_id, peer, wait)
+        if mode == 'full' or wait is not None:
+            return listeners.encode(503, b'', {'Not-Executed': '1', **said})
         self.executed.append(
             ledgers.ExecutedRequest(
                 request_id, server_id, service, target, raw.read_body()
@@ -294,7 +308,7 @@
             bytes([number]) + server_id.encode()[:7].ljust(15, b'.')
             for number in range(3)
         )
-        fields = {'Server-Seal': seal, 'Request-Id': request_id}
+        fields = {'Server-Seal': seal, 'Request-Id': request_id, **said}
         if server_id in self.server_limits:
             fields['Server-Limit'] = self.server_limits[server_id]
         if mode == 'reset':
@@ -327,6 +341,24 @@
             return answer + other
         return answer
 
+    def _record_statements(self, server_id, peer, wait):
+        """Returns the headers that a server adds to an answer."""
+        now = asyncio.get_running_loop().time()
+        incarnation = self.servers[server_id]['born']
+        mode = self.server_modes[server_id]
+        said = {}
+        if server_id in self.leaving_servers:
+            said['Server-Leaving'] = '1'
+            if mode in WHOLE_MODES:
+                self.ledger.record_departure(now, server_id, incarnation, peer)
+        if wait is not None:
+            said['Retry-After'] = wait
+            with contextlib.suppress(ValueError):
+                self.ledger.waits.append(
+                    ledgers.Wait(now, server_id, incarnation, peer, float(wait))
+                )
+        return said
+
     def _start(self, work):
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -343,6 +375,7 @@
             'seeds': [f'{self.network}.2.{seed}:8224' for seed in seeds],
             'limits.cpuShare': 0.5, 'limits.cores': 2,
             'bounds.graceS': GRACE_S,
+            'bounds.drainMs': round(ledgers.DRAIN_S * 1000),
             'bounds.retryRatio': bounds.extra_ratio,
             'bounds.retrySlack': bounds.extra_slack,
             'bounds.retryWindowS': bounds.extra_window_s,
--- a/tests/adapter/ledgers.py
+++ b/tests/adapter/ledgers.py
@@ -10,7 +10,13 @@
   any window, rejected ones included. The first arrival at each shard is not
   extra.
 - `check_limits`: arrivals at a server beyond the rate that it named, summed
-  over the nodes that knew.
+  over the nodes that knew;
+- `check_departures`: requests of callers, sent later than the drain time after
+  a server had said to a node that it leaves, that this node sends to it;
+- `check_waits`: requests that a node sends to a server in the time in which it
+  wants none from this node.
+
+A restart, freeze or cut of a node excuses that node only.
 """
 
 import collections
@@ -22,10 +28,12 @@
 EXCUSED_DEADLINES = 20
 EXCUSED_DEADLINE_SHARE = 0.2
 STABLE_WINDOW_S = 4.0  # after the third crash, or the first rate limit
+DRAIN_S = 3.0  # after which a server that leaves gets nothing new
 RATE_WINDOW_S = 4.0
 RATE_TOLERANCE = 1.5
 EXCUSED_ARRIVALS = 5
 KNOWN_AFTER_S = 0.5  # a node knows a limit this long after it had an answer
+EXCUSED_IN_WAIT = 2  # requests in a time in which a server wants none
 
 
 class ExecutedRequest(NamedTuple):
@@ -99,6 +107,16 @@
     node_host: str
 
 
+class Wait(NamedTuple):
+    """A server's wish for no request from a node for `wait_s` from `at`."""
+
+    at: float
+    server_id: str
+    incarnation: int
+    node_host: str
+    wait_s: float
+
+
 class Bounds(NamedTuple):
     """The operators' bounds on attempts."""
 
@@ -118,6 +136,9 @@
         crashes: Crashes of servers under a request.
         ended: Servers that ended or were cut off, with the time.
         limits: Statements of each server, one for each answer.
+        departures: When a server first said to a node that it leaves, by the
+            server's id and incarnation and the node's host.
+        waits: Times in which servers want no requests from a node.
     """
 
     def __init__(self, bounds=None):
@@ -128,6 +149,59 @@
         self.crashes = []
         self.ended = collections.defaultdict(list)
         self.limits = collections.defaultdict(list)
+        self.departures = {}
+        self.waits = []
+
+    def record_departure(self, at, server_id, incarnation, node_host):
+        """Records that a server said to a node that it leaves."""
+        self.departures.setdefault((server_id, incarnation, node_host), at)
+
+    def check_departures(self, excuses=lambda node_host, begin, end: False):
+        """Checks that servers that leave get no new requests.
+
+        Args:
+            excuses: Returns whether a node was disturbed in a time.
+        """
+        sent_at = {request.request_id: request.at for request in self.sent}
+        late = []
+        for arrival in self.arrivals:
+            key = (arrival.server_id, arrival.incarnation, arrival.node_host)
+            told_at = self.departures.get(key)
+            at = sent_at.get(arrival.request_id)
+            if told_at is None or at is None or at <= told_at + DRAIN_S:
+                continue
+            if not excuses(arrival.node_host, told_at, arrival.at):
+                late.append(
+                    f'{arrival.server_id} got {arrival.request_id} from '
+                    f'{arrival.node_host} {at - told_at:.1f} s after it said '
+                    'that it leaves'
+                )
+        return late
+
+    def check_waits(self, excuses=lambda node_host, begin, end: False):
+        """Checks that servers get nothing while they want nothing.
+
+        Args:
+            excuses: Returns whether a node was disturbed in a time.
+        """
+        breaches = []
+        for wait in self.waits:
+            end = wait.at + wait.wait_s
+            count = sum(
+                wait.at + KNOWN_AFTER_S < arrival.at < end
+                and arrival.server_id == wait.server_id
+                and arrival.incarnation == wait.incarnation
+                and arrival.node_host == wait.node_host
+                for arrival in self.arrivals
+            )
+            if count > EXCUSED_IN_WAIT and not excuses(
+                wait.node_host, wait.at, end
+            ):
+                breaches.append(
+                    f'{wait.server_id} got {count} requests from '
+                    f'{wait.node_host} in a wait of {wait.wait_s:g} s'
+                )
+        return breaches
 
     def record_limit(self, at, server_id, node_host, value):
         """Records that a server answered a node, with a rate or without."""
--- a/tests/adapter/sabotage.py
+++ b/tests/adapter/sabotage.py
@@ -11,11 +11,13 @@
 from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import catalog
+from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import exchanges
 from balsamshore_core.forwarding import fingerprints
 from balsamshore_core.forwarding import quarantine
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
+from balsamshore_core.forwarding import servers
 from balsamshore_node.forwarding import host
 from balsamshore_platform import core
 from balsamshore_platform import documents
@@ -108,6 +110,16 @@
     ratelimits.RateLimit.count_tokens = lambda *arguments: 1e9
 
 
+def ignore_departures():
+    """Sends to servers that say that they leave."""
+    departures.Departures.record = lambda *arguments: False
+
+
+def ignore_waits():
+    """Sends to servers that want nothing for a while."""
+    servers.Server.record_wait = lambda *arguments: None
+
+
 def bring_back_older_configurations():
     """Replaces a new configuration by the previous one now and then."""
     put_table = catalog.Catalog._put_table
@@ -202,6 +214,8 @@
         for name, find in FINGERPRINT_FAULTS.items()
     },
     'limits': ignore_rate_limits,
+    'departures': ignore_departures,
+    'waits': ignore_waits,
     'older': bring_back_older_configurations,
     'invalid': take_invalid_configurations,
     'routes': leave_out_added_routes,
--- a/tests/adapter/test_ledgers.py
+++ b/tests/adapter/test_ledgers.py
@@ -156,3 +156,60 @@
     ledger.record_limit(4.1, 'a0', 'n1', None)
     ledger.arrivals += make_limited_ledger(20).arrivals
     assert not ledger.check_limits()
+
+
+def make_departed_ledger(sent_at):
+    """Returns a ledger with one request to a server that leaves since 1.0."""
+    ledger = ledgers.Ledger()
+    send(ledger, 'late', sent_at)
+    arrive(ledger, 'late', sent_at + 0.1)
+    ledger.record_departure(1.0, 'a0', 1, 'n1')
+    ledger.record_departure(2.0, 'a0', 1, 'n1')
+    return ledger
+
+
+@pytest.mark.parametrize(('sent_at', 'breaches'), [(3.95, 0), (4.05, 1)])
+def test_requests_to_a_server_that_leaves_are_detected(sent_at, breaches):
+    assert len(make_departed_ledger(sent_at).check_departures()) == breaches
+
+
+def test_only_the_node_that_was_told_counts_and_may_be_excused():
+    ledger = make_departed_ledger(9.0)
+    arrival = ledger.arrivals[0]
+    for other in (
+        arrival._replace(node_host='n2'),
+        arrival._replace(incarnation=2),
+        arrival._replace(server_id='a1'),
+    ):
+        ledger.arrivals = [other]
+        assert not ledger.check_departures()
+    ledger.arrivals = [arrival]
+    assert ledger.check_departures(lambda host, *_: host == 'n2')
+    assert not ledger.check_departures(lambda host, *_: host == 'n1')
+
+
+def make_waiting_ledger(requests, at):
+    ledger = ledgers.Ledger()
+    ledger.waits.append(ledgers.Wait(1.0, 'a0', 1, 'n1', 4.0))
+    for number in range(requests):
+        arrive(ledger, f'r{number}', at)
+    return ledger
+
+
+@pytest.mark.parametrize(
+    ('requests', 'at', 'breaches'),
+    [(2, 3.0, 0), (3, 3.0, 1), (3, 1.4, 0), (3, 5.1, 0)],
+)
+def test_requests_in_a_wait_are_detected(requests, at, breaches):
+    assert len(make_waiting_ledger(requests, at).check_waits()) == breaches
+
+
+def test_a_wait_holds_for_one_node_and_incarnation():
+    ledger = make_waiting_ledger(3, 3.0)
+    arrivals = ledger.arrivals
+    for fields in ({'node_host': 'n2'}, {'incarnation': 2}):
+        ledger.arrivals = [each._replace(**fields) for each in arrivals]
+        assert not ledger.check_waits()
+    ledger.arrivals = arrivals
+    assert ledger.check_waits(lambda host, *_: host == 'n2')
+    assert not ledger.check_waits(lambda host, *_: host == 'n1')
--- a/tests/forwarding/test_gossip.py
+++ b/tests/forwarding/test_gossip.py
@@ -7,6 +7,7 @@
 
 from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import catalog
+from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import fleet
 from balsamshore_core.forwarding import quarantine
 from balsamshore_core.forwarding import suspects
@@ -93,7 +94,7 @@
 def test_a_datagram_of_rate_reports_fits_one_packet():
     reports = {
         f'i-{n:010}': ratelimits.RateReport(2**41, 9.25, 0.125)
-        for n in range(host.MAX_RATE_REPORTS)
+        for n in range(host.MAX_SERVER_REPORTS)
     }
     payload = gossip.Payload((RECORD,), revision=2**40, rate_reports=reports)
     assert len(gossip.encode_payload(payload)) <= 1_400
@@ -109,6 +110,27 @@
         gossip.decode_payload(data)
 
 
+def test_reports_of_draining_servers_are_decoded_as_encoded():
+    reports = {
+        f'i-{n:010}': departures.DepartureReport(2**41, 0.125)
+        for n in range(host.MAX_SERVER_REPORTS)
+    }
+    payload = gossip.Payload(
+        (RECORD,), revision=2**40, departure_reports=reports
+    )
+    data = gossip.encode_payload(payload)
+    assert len(data) <= 1_400
+    assert gossip.decode_payload(data).departure_reports == reports
+
+
+@pytest.mark.parametrize('reports', [5, {'i': 5}, {'i': [1]}, {'i': ['x', 1]}])
+def test_invalid_reports_of_draining_servers_are_an_error(reports):
+    fields = msgpack.unpackb(gossip.encode_payload(gossip.Payload((RECORD,))))
+    data = msgpack.packb([5, *fields[1:], [], {}, reports])
+    with pytest.raises(ValueError, match='invalid gossip payload'):
+        gossip.decode_payload(data)
+
+
 @hypothesis.settings(deadline=None, derandomize=True)
 @hypothesis.given(st.binary(max_size=100))
 def test_other_bytes_are_not_news(payload):
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -38,6 +38,8 @@
         mode: `ok`, `silent`, `unreachable`, `over_limit`, `full` or `reset`.
         status: HTTP status of the replies.
         seals: Whether it signs the replies.
+        draining: Whether its replies state that it drains.
+        wait_s: For how long its refusals ask for no request.
         pauses: Start and length of each pause, in seconds.
         crashing: Fingerprints of the requests that crash the server.
     """
@@ -48,6 +50,8 @@
         self.mode = 'ok'
         self.status = 200
         self.seals = True
+        self.draining = False
+        self.wait_s = 0.0
         self.pauses = []
         self.crashing = set()
 
@@ -228,6 +232,9 @@
             f'seal-{server.entry.server_id}-{attempt}' if server.seals else '',
             b'HTTP/1.1 %d' % status,
             attempt.to_bytes(16, 'big'),
+            None,
+            server.draining,
+            server.wait_s if status == 503 else 0.0,
         )
         self.perform(self.exchanges.handle_reply(attempt, reply, self.now))
 
