Leave servers alone for as long as they ask with Retry-After

Cause: Retry-After of servers was not read.

Change: a 503 with Retry-After closes its server to this node until then, and a little longer (a tenth, 1 s at most) so that nodes return one after another. No other answer ends it, a new incarnation does. Seconds, decimals and dates are read (against Date, if sent); 600 s at most; 0 is no wait; anything else is ignored, counted and logged once a server. Without an open server a part waits if the first is back before the deadline; otherwise it fails at once, and a refusal says when the servers are back.

--- a/tests/adapter/test_statements.py
+++ b/tests/adapter/test_statements.py
@@ -90,8 +90,48 @@
             assert answer.status == 200
 
 
+@pytest.mark.parametrize('closed', [['a0'], ['a0', 'a1']])
+async def test_a_server_that_wants_nothing_for_a_while_gets_nothing(
+    tmp_path, closed
+):
+    async with test_program.start_platform(
+        tmp_path, NODES, '127.245'
+    ) as platform:
+        await load(platform, 1.0)
+        platform.server_waits.update(dict.fromkeys(closed, '4'))
+        await load(platform, 6.0)
+        assert {wait.server_id for wait in platform.ledger.waits} == set(closed)
+        assert not check(platform)
+        platform.server_waits.clear()
+        await asyncio.sleep(4.5)
+        for index in range(1, NODES + 1):
+            answer = await platform.send_request(index, '/p/x')
+            assert answer.status == 200
+
+
+async def test_what_cannot_be_read_is_ignored_and_logged_once(tmp_path):
+    async with test_program.start_platform(
+        tmp_path, NODES, '127.246'
+    ) as platform:
+        platform.server_waits['a0'] = 'soon'
+        await load(platform, 3.0)
+        lines = [
+            line
+            for index in range(1, NODES + 1)
+            for line in platform.read_log(f'n{index}')
+            if line.get('event') == 'statement'
+        ]
+        assert {line['detail'] for line in lines} == {'retry-after'}
+        assert len(lines) <= NODES
+        platform.server_waits.clear()
+        cleared_at = asyncio.get_running_loop().time()
+        await load(platform, 3.0)
+        assert count_late(platform, ['a0'], cleared_at) > 0
+
+
 FAULTS = {
     'departures': 'after it said that it leaves',
+    'waits': 'in a wait of 4 s',
 }
 
 
--- a/tests/forwarding/test_statements.py
+++ b/tests/forwarding/test_statements.py
@@ -5,6 +5,7 @@
 import pytest
 from forwarding import worlds
 
+from balsamshore_core import retryafter
 from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import servers
 from balsamshore_core.forwarding import statements
@@ -309,6 +310,36 @@
     ask_for(world, 0.5)
 
 
+@pytest.mark.parametrize(
+    ('text', 'wait_s'),
+    [
+        ('3', 3.0),
+        ('0', 0.0),
+        (' 0.25 ', 0.25),
+        ('99999999999', retryafter.MAX_WAIT_S),
+        ('Thu, 01 Jan 1970 00:01:05 GMT', 5.0),
+        ('Thu, 01 Jan 1970 00:00:10 GMT', 0.0),
+        ('Thu, 01 Jan 2099 00:00:00 GMT', retryafter.MAX_WAIT_S),
+    ],
+)
+def test_seconds_and_dates_are_read(text, wait_s):
+    date = 'Thu, 01 Jan 1970 00:01:00 GMT'
+    assert retryafter.parse_retry_after(text, date, 1e9) == wait_s
+    assert retryafter.parse_retry_after(text, '', 60.0) == wait_s
+
+
+@pytest.mark.parametrize('text', ['', '-1', 'soon', 'nan', 'inf', '1e3', '1,2'])
+def test_other_values_are_unreadable(text):
+    wait_s = retryafter.parse_retry_after(text, '', 0.0)
+    assert wait_s != wait_s  # NaN
+
+
+@hypothesis.given(st.text(), st.text())
+def test_any_text_is_read_or_unreadable(text, date):
+    wait_s = retryafter.parse_retry_after(text, date, 0.0)
+    assert wait_s != wait_s or 0.0 <= wait_s <= retryafter.MAX_WAIT_S
+
+
 def forget_statements(patch):
     patch.setattr(departures.Departures, 'record', lambda *_: False)
 
