Do not hedge the parts of a request under which a server just crashed

Cause: a request to all shards that crashes its servers does so after a different time on each.

Change: parts of a suspect are hedged late only. Those that were sent before are looked at again soon, because the first reply to another part clears the request.

--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -634,7 +634,7 @@
         if part.runs + len(part.live) >= route.max_attempts:
             return
         hedge_at = self._isolation.find_hedge_time(
-            attempt, self._delays.find_hedge_delay(route)
+            attempt, self._delays.find_hedge_delay(route), now
         )
         if hedge_at is None:
             return
--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -13,6 +13,7 @@
 CRASH_CAUSES = frozenset(('reset', 'closed', 'truncated', 'ended'))
 # A suspect is hedged late: a crash shows before its server could be just slow.
 SUSPECT_HEDGE_DELAYS = 3.0
+CLEARANCE_CHECK_DELAYS = 0.25  # hedge delays between looks for an answer
 # After a gap in the reads of the store, all nodes know within this time which
 # servers ended meanwhile: servers register again within 2 s.
 CATCH_UP_S = 3.5
@@ -140,16 +141,24 @@
             self._board.counters['suspects_cleared'] += 1
 
     def find_hedge_time(
-        self, attempt: boards.Attempt, hedge_delay_s: float
+        self, attempt: boards.Attempt, hedge_delay_s: float, now: float
     ) -> float | None:
-        """Returns from when an attempt may be hedged, or None for never."""
-        if not attempt.alone:
+        """Returns from when an attempt may be hedged, or None for never.
+
+        An attempt may have been sent before its request became a suspect. A
+        hedge might then crash another server of its shard; the first reply to
+        another part clears the request, so that is looked for first.
+        """
+        fingerprint = attempt.part.exchange.fingerprint
+        quarantine = self._board.quarantine
+        if not attempt.alone and not quarantine.is_suspected(fingerprint):
             return attempt.sent_at
-        if not self._board.quarantine.may_hedge(
-            attempt.part.exchange.fingerprint
-        ):
+        if not quarantine.may_hedge(fingerprint):
             return None
-        return attempt.sent_at + SUSPECT_HEDGE_DELAYS * hedge_delay_s
+        hedge_at = attempt.sent_at + SUSPECT_HEDGE_DELAYS * hedge_delay_s
+        if attempt.alone or now >= hedge_at:
+            return hedge_at
+        return now + CLEARANCE_CHECK_DELAYS * hedge_delay_s
 
     def _record_crash(
         self,
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -97,6 +97,40 @@
     assert times[7] - times[6] > 0.001
 
 
+def crash_one_by_one(cluster):
+    """Lets the crashing request run for a different time on each shard."""
+    for server_id, server in cluster.servers.items():
+        shard = int(server_id[1 : server_id.index('-')])
+        server.crash_after_s = 0.01 + 0.004 * shard
+
+
+def test_parts_of_a_suspect_that_still_run_are_not_hedged():
+    cluster = make_cluster(nodes=1, shards=10)
+    cluster.nodes[0].warm_up()
+    crash_one_by_one(cluster)
+    cluster.ask(0, POISON, 'scattered')
+    cluster.run(0.6)
+    # One of each shard at once, then two alone.
+    assert len(cluster.crashes) == 10 + 2
+
+
+def test_a_part_of_a_request_that_is_cleared_is_hedged_soon():
+    cluster = make_cluster(nodes=1, shards=6)
+    node = cluster.nodes[0]
+    node.warm_up()
+    for server in cluster.servers.values():
+        server.work_s = 0.03
+    node, request = cluster.ask(0, 'innocent', 'scattered')
+    lost, paused = node.runs[0].server, node.runs[1].server
+    cluster.servers[paused].pauses.append((cluster.now, 0.4))
+    cluster.run(0.005)
+    cluster.crash(lost)
+    cluster.run(0.5)
+    received = node.answers[request]
+    assert received.answer.outcome == 'complete'
+    assert received.took_s < 0.1  # the objective
+
+
 def test_the_last_repeat_is_answered_at_once_and_truly():
     cluster = make_cluster()
     repeat(cluster, 3.0)
@@ -543,6 +577,14 @@
     test_a_scattered_request_crashes_one_server_a_shard_and_two(gap_s)
 
 
+def hedge_suspects(patch):
+    patch.setattr(
+        isolation.Isolation,
+        'find_hedge_time',
+        lambda self, attempt, *_: attempt.sent_at,
+    )
+
+
 def check_plain(gap_s=0.3):
     test_a_plain_request_crashes_no_more_than_three_servers(gap_s)
 
@@ -562,6 +604,7 @@
     tell_nobody: check_plain,
     tell_newcomers_nothing: test_a_new_process_learns_what_is_stopped,
     never_hold: check_scattered,
+    hedge_suspects: test_parts_of_a_suspect_that_still_run_are_not_hedged,
     never_try_again: (
         test_a_request_that_no_longer_crashes_servers_is_served_again
     ),
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -42,6 +42,7 @@
         wait_s: For how long its refusals ask for no request.
         pauses: Start and length of each pause, in seconds.
         crashing: Fingerprints of the requests that crash the server.
+        crash_after_s: How long such a request runs before.
     """
 
     def __init__(self, entry):
@@ -54,6 +55,7 @@
         self.wait_s = 0.0
         self.pauses = []
         self.crashing = set()
+        self.crash_after_s = 0.001
 
     def finish_at(self, now):
         """Returns when a request that starts now ends."""
@@ -211,7 +213,7 @@
         )
         if self.fingerprints.get(send.exchange_id) in server.crashing:
             self.at(
-                self.now + 0.001,
+                self.now + server.crash_after_s,
                 lambda: self.crash_server(send.entry.server_id),
             )
             return
