Let the soak's servers say that they leave, or ask for no requests

Both are drawn from a generator of their own, alone or for a service; servers that left start again. The ledger's checks judge each node with the excuses of its own signals.

--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -37,8 +37,6 @@
 CRASH_DOWN_S = 0.6
 CRASH_MANNERS = ('closed', 'truncated', 'supervised', 'silent')
 IN_FORCE = re.compile(r'configuration (\d+) is in force')
-# Whose answers reach the node as they are.
-WHOLE_MODES = ('ok', 'full', 'slow', 'slower', 'late_extra')
 PROCESSING_S = {'slow': 0.4, 'slower': 2.5}  # by mode of the server
 
 
@@ -285,8 +283,9 @@
             await asyncio.sleep(60)
         if misdirected:
             return listeners.encode(421, b'', {'Instance-Id': server_id})
-        said = self._record_statements(server_id, peer, wait)
+        said = self._list_statements(server_id, wait)
         if mode == 'full' or wait is not None:
+            self._record_statements(server_id, peer, said)
             return listeners.encode(503, b'', {'Not-Executed': '1', **said})
         self.executed.append(
             ledgers.ExecutedRequest(
@@ -329,6 +328,7 @@
             asyncio.get_running_loop().time(), server_id, peer,
             self.server_limits.get(server_id),
         )  # fmt: skip
+        self._record_statements(server_id, peer, said)
         if mode == 'unframed':
             lines = ''.join(f'{n}: {v}\r\n' for n, v in fields.items())
             head = f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
@@ -341,24 +341,27 @@
             return answer + other
         return answer
 
-    def _record_statements(self, server_id, peer, wait):
+    def _list_statements(self, server_id, wait):
         """Returns the headers that a server adds to an answer."""
-        now = asyncio.get_running_loop().time()
-        incarnation = self.servers[server_id]['born']
-        mode = self.server_modes[server_id]
         said = {}
         if server_id in self.leaving_servers:
             said['Server-Leaving'] = '1'
-            if mode in WHOLE_MODES:
-                self.ledger.record_departure(now, server_id, incarnation, peer)
         if wait is not None:
             said['Retry-After'] = wait
-            with contextlib.suppress(ValueError):
-                self.ledger.waits.append(
-                    ledgers.Wait(now, server_id, incarnation, peer, float(wait))
-                )
         return said
 
+    def _record_statements(self, server_id, peer, said):
+        """Records what an answer that reaches the node whole states."""
+        now = asyncio.get_running_loop().time()
+        incarnation = self.servers[server_id]['born']
+        if 'Server-Leaving' in said:
+            self.ledger.record_departure(now, server_id, incarnation, peer)
+        with contextlib.suppress(KeyError, ValueError):
+            wait_s = float(said['Retry-After'])
+            self.ledger.waits.append(
+                ledgers.Wait(now, server_id, incarnation, peer, wait_s)
+            )
+
     def _start(self, work):
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -9,6 +9,7 @@
 servers fail in many ways, alone or all of a service, and two requests crash
 each server that runs them, in four manners, and are repeated at random nodes.
 Callers connect from several addresses, each time from another one.
+Servers say that they leave, until they start again, or ask for no requests.
 Configurations, some of them large, travel between nodes over links that become
 slow or stand still.
 The test checks what callers and servers observed against the program's
@@ -46,6 +47,7 @@
 STORE_MODES = ('ok', 'ok', 'busy', 'reset', 'silent')
 SERVER_LIMITS = ('', '', '0', '4.5', '12', 'none')  # 'none' is unreadable
 MEAN_FAULT_PAUSE_S = 0.5  # the pause between two faults is random
+SERVER_WAITS = ('', '', '0', '0.5', '2', 'soon')  # 'soon' is unreadable
 RECOVERY_S = 8.0
 DEADLINE_MS = 2000  # of each caller
 REFUSAL_STATUSES = (429, 503)
@@ -169,6 +171,8 @@
         self.invalid_versions = set()
         self.table_rng = random.Random(seed)
         self.rewriting = None
+        self.statement_rng = random.Random(seed)
+        self.restarts = []
 
     async def run(self, seconds):
         platform = self.platform
@@ -224,7 +228,8 @@
         """Injects random faults, which may overlap."""
         faults = (self.fail_server, self.fail_server, self.fail_store,
                   self.fail_service, self.change_crash_manner,
-                  self.limit_server, self.restore_store,
+                  self.limit_server, self.close_server,
+                  self.drain_server, self.restore_store,
                   self.disrupt_store_connection, self.change_configuration,
                   self.change_link, self.signal_node,
                   self.signal_node)  # fmt: skip
@@ -246,6 +251,30 @@
             else:
                 self.platform.server_limits.pop(name, None)
 
+    async def close_server(self):
+        """Lets a server or all of a service ask for no requests for a while."""
+        name = self.statement_rng.choice(sorted(self.platform.server_modes))
+        wait = self.statement_rng.choice(SERVER_WAITS)
+        for other in tuple(self.platform.server_modes):
+            if other != name and self.statement_rng.random() < 0.7:
+                continue
+            if wait:
+                self.platform.server_waits[other] = wait
+            else:
+                self.platform.server_waits.pop(other, None)
+
+    async def drain_server(self):
+        """Lets a server say that it leaves, or one that said so start again."""
+        leaving = sorted(self.platform.leaving_servers)
+        if leaving and self.statement_rng.random() < 0.6:
+            name = self.statement_rng.choice(leaving)
+            self.restarts.append(
+                asyncio.create_task(self.platform.crash_server(name))
+            )
+            return
+        name = self.statement_rng.choice(sorted(self.platform.server_modes))
+        self.platform.leaving_servers.add(name)
+
     async def fail_service(self):
         """Lets all servers of a service fail alike."""
         service = self.rng.choice('abc')
@@ -334,6 +363,10 @@
             await self.rewriting
         platform.server_modes.update(dict.fromkeys(platform.server_modes, 'ok'))
         platform.server_limits.clear()
+        platform.server_waits.clear()
+        for name in sorted(platform.leaving_servers):
+            await platform.crash_server(name)
+        await asyncio.gather(*self.restarts)
         self.proxy.apply(proxy.Rule())
         self.links.limits = {}
         self.links.frozen = set()
@@ -434,6 +467,8 @@
             *ledger.check_deadlines(),
             *ledger.check_extra(),
             *ledger.check_limits(self.is_sender_in_touch),
+            *ledger.check_departures(self.was_disturbed),
+            *ledger.check_waits(self.was_disturbed),
         ]
         for target in CRASHING_TARGETS:
             self.violations += ledger.check_crashing(target, self.is_in_touch)
@@ -452,6 +487,10 @@
         index = int(arrival.node_host.rpartition('.')[2])
         return self.was_undisturbed(index, arrival.at, arrival.at)
 
+    def was_disturbed(self, node_host, begin, end):
+        index = int(node_host.rpartition('.')[2])
+        return not self.was_undisturbed(index, begin, end)
+
     def was_undisturbed(self, index, begin, end):
         return all(
             not begin - ledgers.STABLE_WINDOW_S <= at <= end
