End the other runs of a request once several servers crashed under it

Cause: a request to all shards that crashes its servers is on one server of each at once, and on as many more for each node that it reaches before the first crash is known: 12 to 22 servers for 3.5 s. The runs that still go on when the second server has crashed crash theirs later.

Change: once two servers have crashed under a request here, or one at another node, and no server has answered it before, its other runs are ended (servers drop a request whose connection closes) and its parts are sent alone, one after the other. Requests that were answered before go on; requests that may run once only are left alone.

--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -185,6 +185,7 @@
         for fingerprint in self._board.quarantine.record_check(
             server_id, born_ms, crashed, now
         ):
+            self._isolate(fingerprint, now, output)
             self._release(fingerprint, now, output)
         return output
 
@@ -214,6 +215,7 @@
         """Applies another node's notices about requests that crash servers."""
         output: boards.Actions = []
         for fingerprint in self._board.quarantine.apply_notices(notices, now):
+            self._isolate(fingerprint, now, output)
             self._release(fingerprint, now, output)
         return output
 
@@ -520,6 +522,36 @@
             if part.is_open():
                 self._dispatch_part(part, 'alone', now, output)
 
+    def _isolate(
+        self, fingerprint: str, now: float, output: boards.Actions
+    ) -> None:
+        """Ends the runs of a suspect that would crash their servers as well.
+
+        Their parts are sent again alone, one after the other.
+        """
+        if not self._board.quarantine.must_isolate(fingerprint):
+            return
+        ended = [
+            attempt
+            for attempt in self._state.attempts.values()
+            if attempt.part.exchange.fingerprint == fingerprint
+            and attempt.part.exchange.route.idempotent
+            and not attempt.alone
+        ]
+        for attempt in ended:
+            self._board.counters['isolated'] += 1
+            self._isolation.record_unanswered(attempt, now)
+            self._close(attempt, now, output)
+        for attempt in ended:
+            part = attempt.part
+            if attempt.abandoned or not part.is_open():
+                continue
+            part.runs += 1
+            part.exchange.may_have_run = True
+            server_id = attempt.server.entry.server_id
+            part.exchange.record_step(now, 'isolated', part.service, server_id)
+            self._retry_part(part, 'isolated', True, now, output)
+
     def _evaluate_reply(
         self,
         attempt: boards.Attempt,
--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -26,6 +26,7 @@
 
 MIN_CRASHES = 3
 MIN_UNANSWERED_CRASHES = 2
+MIN_ISOLATING_CRASHES = 2
 MAX_HEDGED_CRASHES = 1  # a request with more is not hedged
 KEPT_CRASHES = 4  # per request; enough to tell repeats of an older report
 SAME_MOMENT_S = 1.0  # a server takes longer to return and crash again
@@ -87,6 +88,17 @@
         suspect = self._suspects.get(fingerprint)
         return suspect is not None and bool(suspect.unconfirmed)
 
+    def must_isolate(self, fingerprint: str) -> bool:
+        """Returns whether runs of a request must end that began together.
+
+        So it is if several servers crashed under it here, or one at another
+        node, and none has ever answered it: the others would crash too.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or fingerprint in self._answered:
+            return False
+        return suspect.told or len(suspect.servers) >= MIN_ISOLATING_CRASHES
+
     def may_hedge(self, fingerprint: str) -> bool:
         """Returns whether a slow run may be joined by a second one."""
         suspect = self._suspects.get(fingerprint)
@@ -304,6 +316,7 @@
         crash: suspects.Crash,
         now: float,
     ) -> None:
+        suspect.servers.add(crash[:2])
         if self._add_crash(suspect, crash):
             self._decide('crash', fingerprint, now)
             needed = self._find_needed_crashes(fingerprint, suspect, crash)
@@ -372,6 +385,8 @@
         suspect.crashes = [
             crash for crash in suspect.crashes if crash.at > suspect.cleared_at
         ]
+        suspect.servers.clear()
+        suspect.told = False
         if not suspect.crashes:
             suspect.stops = 0
             suspect.stopped_until = float('-inf')
@@ -412,6 +427,7 @@
         ]
         for crash in crashes:
             self._add_crash(suspect, crash)
+        suspect.told = suspect.told or bool(crashes)
         if crashes:
             if notice.stops > suspect.stops:
                 suspect.stops = notice.stops
--- a/packages/core/balsamshore_core/forwarding/suspects.py
+++ b/packages/core/balsamshore_core/forwarding/suspects.py
@@ -61,6 +61,8 @@
         cleared_at: When a server last answered it.
         changed_at: When this node last learned something about it.
         known_to_peers: Whether other nodes were told, or told this one.
+        servers: Incarnations that crashed under it, as this node saw itself.
+        told: Whether another node told of a crash under it.
     """
 
     __slots__ = (
@@ -68,8 +70,10 @@
         'cleared_at',
         'crashes',
         'known_to_peers',
+        'servers',
         'stopped_until',
         'stops',
+        'told',
         'unconfirmed',
     )
 
@@ -81,6 +85,8 @@
         self.cleared_at = float('-inf')
         self.changed_at = now
         self.known_to_peers = False
+        self.servers: set[tuple[str, int]] = set()
+        self.told = False
 
     def is_suspected(self) -> bool:
         """Returns whether it must run alone."""
