Hedge parts of a suspect only once a server has answered the request

Change: such parts wait for the first answer, which clears the request.

Result: test_quarantine.py and test_evidence.py pass; the mutation that hedges suspects is noticed.

--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -146,8 +146,8 @@
         """Returns from when an attempt may be hedged, or None for never.
 
         An attempt may have been sent before its request became a suspect. A
-        hedge might then crash another server of its shard; the first reply to
-        another part clears the request, so that is looked for first.
+        hedge might then crash another server of its shard, so it has to wait
+        for the first reply to another part, which clears the request.
         """
         fingerprint = attempt.part.exchange.fingerprint
         quarantine = self._board.quarantine
@@ -155,9 +155,8 @@
             return attempt.sent_at
         if not quarantine.may_hedge(fingerprint):
             return None
-        hedge_at = attempt.sent_at + SUSPECT_HEDGE_DELAYS * hedge_delay_s
-        if attempt.alone or now >= hedge_at:
-            return hedge_at
+        if attempt.alone:
+            return attempt.sent_at + SUSPECT_HEDGE_DELAYS * hedge_delay_s
         return now + CLEARANCE_CHECK_DELAYS * hedge_delay_s
 
     def _record_crash(
