Count what a return of the store changes; show it in explain

Change: counters entries_retained, entries_let_go and entries_kept; explain shows the returns that a node saw in the 30 s before a request, and names the new reasons; mutations for a removed server that the copy still has and for listings that straddle the return.

--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -1,5 +1,6 @@
 """Explains one request from the logs of all nodes."""
 
+import datetime
 import json
 from typing import Any
 
@@ -7,6 +8,8 @@
 from balsamshore_cli import status
 from balsamshore_node import environment
 
+ERA_EVENT = '"era"'
+RETURN_SHOWN_S = 30.0  # what the store lost is written again in less
 REASONS = {
     'no_replicas': 'too few of its shards had a usable backend server',
     'rate_limited': (
@@ -27,6 +30,10 @@
     'ended': 'a backend server ended before it answered',
     'unreachable': 'no backend server could be reached',
     'stopping': 'the node was shutting down and had no time left',
+    'servers_closed': (
+        'its backend servers want no requests for longer than it may wait'
+    ),
+    'isolated': 'it was ended: several servers crashed under this request',
 }
 STEPS = {
     'hedge': 'was late; a hedge was sent to a second server',
@@ -48,6 +55,7 @@
     'held': 'waited: a server was lost under this request',
     'alone': 'was sent alone: a server was lost under this request',
     'unreachable': 'could not be sent: the server was unreachable',
+    'isolated': 'was ended: several servers crashed under this request',
     'part_failed': 'failed without further attempts',
     'missing': 'had no answer in time',
 }
@@ -65,11 +73,12 @@
         errors.CommandError: A file cannot be read, or no log line has the
             request id.
     """
-    entries = []
+    entries: list[dict[str, Any]] = []
+    returns: list[dict[str, Any]] = []
     for file in files:
         try:
             with open(file, encoding='utf-8', errors='replace') as lines:
-                entries += _find_lines(lines, request_id)
+                _find_lines(lines, request_id, entries, returns)
         except OSError as error:
             raise errors.CommandError(f'{file}: {error.strerror}') from error
     if not entries:
@@ -78,16 +87,22 @@
             'a sample of the complete answers in time is logged; pass the '
             'logs of every node'
         )
+    entries += [line for line in returns if _precedes(line, entries)]
     for line in sorted(entries, key=lambda line: str(line.get('time', ''))):
         env.stdout.write('\n'.join(_describe(line)) + '\n')
     return status.ExitStatus.SUCCESS
 
 
-def _find_lines(lines: Any, request_id: str) -> list[dict[str, Any]]:
-    entries = []
+def _find_lines(
+    lines: Any,
+    request_id: str,
+    entries: list[dict[str, Any]],
+    returns: list[dict[str, Any]],
+) -> None:
+    """Adds the lines about a request, and those about the store's returns."""
     for line in lines:
         start = line.find('{')
-        if start < 0 or request_id not in line:
+        if start < 0 or not (request_id in line or ERA_EVENT in line):
             continue
         try:
             fields = json.loads(line[start:])
@@ -95,7 +110,26 @@
             continue
         if request_id in (fields.get('request_id'), fields.get('fingerprint')):
             entries.append(fields)
-    return entries
+        elif fields.get('event') == 'era':
+            returns.append(fields)
+
+
+def _precedes(line: dict[str, Any], entries: list[dict[str, Any]]) -> bool:
+    """Returns whether the store came back shortly before a node's entry."""
+    at = _read_time(line)
+    return any(
+        entry.get('vm') == line.get('vm')
+        and 0 <= _read_time(entry) - at <= RETURN_SHOWN_S
+        for entry in entries
+    )
+
+
+def _read_time(line: dict[str, Any]) -> float:
+    try:
+        time = datetime.datetime.fromisoformat(str(line.get('time')))
+    except ValueError:
+        return 0.0
+    return time.timestamp()
 
 
 def _describe(line: dict[str, Any]) -> list[str]:
@@ -107,6 +141,11 @@
             f'{origin} refused with {line.get("status")}'
             + (f': {explanation}' if explanation else '')
         ]
+    if line.get('event') == 'era':
+        return [
+            f'{origin} {line.get("message")}: era {line.get("era")}, before '
+            f'{line.get("before")}; what it lost may still be unknown'
+        ]
     if line.get('event') == 'quarantine':
         return [
             f'{origin} request {line.get("fingerprint")}: '
--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -170,6 +170,7 @@
         for key, until in tuple(self._retained_until.items()):
             if until <= now:
                 del self._retained_until[key]
+                self._board.counters['entries_let_go'] += 1
                 self._unregister(key, changes)
         for key, removed_at in tuple(self._removed_at.items()):
             if now - removed_at > TOMBSTONE_S:
@@ -248,6 +249,7 @@
         Nodes that fetch the catalog then get that state.
         """
         if known is not None:
+            self._board.counters['entries_kept'] += 1
             self._items[item.key] = known._replace(revision=item.revision)
 
     def _put_table(self, table: routes.RouteTable, changes: list[str]) -> bool:
@@ -266,6 +268,7 @@
         self._removed_at[key] = now
         if item.retained and key in self._entries:
             self._retained_until[key] = now + RETENTION_S
+            self._board.counters['entries_retained'] += 1
             return
         self._retained_until.pop(key, None)
         entry = self._entries.get(key)
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -109,6 +109,12 @@
         await platform.stop()
 
 
+async def test_a_listing_that_ignores_eras_is_noticed(tmp_path, monkeypatch):
+    monkeypatch.setattr(store, '_check_era', lambda *_: None)
+    with pytest.raises(pytest.fail.Exception, match='DID NOT RAISE'):
+        await test_a_listing_that_straddles_the_return_is_not_used(tmp_path)
+
+
 async def test_a_watch_from_before_the_return_has_lost_its_history(tmp_path):
     platform, client = await start_store(tmp_path, '127.235')
     try:
--- a/tests/forwarding/test_eras.py
+++ b/tests/forwarding/test_eras.py
@@ -222,6 +222,25 @@
     assert world.other.list_usable() == {'a'}
 
 
+def test_a_removed_server_stays_removed_though_the_copy_has_it():
+    world, copy = start_drill()
+    world.store.restore(copy)
+    world.run(1.0)
+    for node in world.nodes:
+        assert 'd' not in node.list_usable()
+
+
+def test_what_a_return_changes_is_counted():
+    world, copy = start_drill()
+    world.store.restore(copy)
+    world.run(catalogs.RETENTION_S + 1.0)
+    counters = world.reader.board.counters
+    # `c` is lacking in the copy; `b`, `d` and the configuration are older.
+    assert counters['entries_retained'] == 1
+    assert counters['entries_let_go'] == 1
+    assert counters['entries_kept'] == 3
+
+
 def test_a_removed_server_that_lives_again_is_used():
     world, copy = start_drill()
     world.store.restore(copy)
@@ -347,6 +366,16 @@
     )
 
 
+def bring_back_removed_servers(patch):
+    put = catalogs.Catalog._put
+
+    def put_although_removed(self, item, *arguments):
+        self._removed_at.pop(item.key, None)
+        return put(self, item, *arguments)
+
+    patch.setattr(catalogs.Catalog, '_put', put_although_removed)
+
+
 def list_without_backoff(patch):
     patch.setattr(
         followers.Follower, '_choose_backoff', lambda self, failures: 0.0
@@ -356,6 +385,9 @@
 MUTATIONS = {
     ignore_eras: test_what_is_written_again_counts,
     take_the_state_of_the_copy: test_nothing_goes_back_with_the_store,
+    bring_back_removed_servers: (
+        test_a_removed_server_stays_removed_though_the_copy_has_it
+    ),
     let_go_at_once: test_nothing_goes_back_with_the_store,
     publish_the_state_of_the_copy: (
         test_a_node_that_starts_after_the_return_gets_the_newest_known_state
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -100,3 +100,25 @@
     env = environment.Environment({}, io.StringIO(), io.StringIO())
     assert core.main(['explain', 'r7', str(path)], env) == 0
     assert 'its backend servers take no more requests' in env.stdout.getvalue()
+
+
+def test_returns_of_the_store_shortly_before_are_shown(tmp_path):
+    era = {
+        'time': '2025-12-31T23:59:50+00:00', 'vm': 'n1', 'event': 'era',
+        'era': 2, 'before': 1,
+        'message': 'the store came back from an older copy',
+    }  # fmt: skip
+    log = tmp_path / 'n1.log'
+    lines = [
+        ANSWER,
+        era,
+        {**era, 'vm': 'n2', 'era': 3},
+        {**era, 'time': '2025-12-31T23:59:00+00:00', 'era': 4},
+    ]
+    log.write_text(''.join(json.dumps(line) + '\n' for line in lines))
+    env = environment.Environment({}, io.StringIO(), io.StringIO())
+    assert core.main(['explain', 'r7', str(log)], env) == 0
+    output = env.stdout.getvalue()
+    assert 'from an older copy: era 2, before 1' in output.splitlines()[0]
+    assert 'era 3' not in output
+    assert 'era 4' not in output
