Send repeats of a refused request on other connections than the refusal's

Cause: a server may send an answer twice, the copy late. Answers to other requests are told apart by their id, but a repeat of a refused request has the id of its first sending.

Change: a connection remembers the ids that were refused on it; their repeats use another one. After 64 such ids it is closed.

Result: over real sockets the second sending ended 503 though it had run, and 200 now; other requests still use the connection.

--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -25,6 +25,7 @@
 CHECK_TIMEOUT_S = 0.05  # without an answer, nothing shows that a server crashed
 MAX_RESET_WAIT_S = 0.01  # longer would make an urgent request miss its target
 SWEEP_INTERVAL_S = 1.0  # between checks for connections idle too long
+MAX_REFUSED_IDS = 64  # remembered by a connection, which is closed then
 MAX_HELD_BYTES = 33_554_432  # of all incomplete replies together
 
 OnReply = collections.abc.Callable[[int, actions.Reply], None]
@@ -33,7 +34,13 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection to one incarnation of a backend server."""
+    """One connection to one incarnation of a backend server.
+
+    Attributes:
+        refused_ids: Ids of the requests that the server refused here. A late
+            copy of such a refusal would be taken for the reply to a repeat of
+            its request, so repeats go on other connections.
+    """
 
     __slots__ = (
         '_pool',
@@ -45,6 +52,7 @@
         'held_bytes',
         'idle_since',
         'payload',
+        'refused_ids',
         'request',
         'transport',
         'written',
@@ -62,6 +70,7 @@
         self.idle_since = 0.0
         self.expires_at = 0.0
         self.held_bytes = 0
+        self.refused_ids: set[str] = set()
 
     def send_request(
         self,
@@ -142,7 +151,13 @@
             self.attempt_id = attempt_id
             self._pool.drop(self, 'crossed')
             return
-        reusable = not (reader.closing or reader.has_trailing_bytes)
+        if reply.refused:
+            self.refused_ids.add(request.request_id)
+        reusable = not (
+            reader.closing
+            or reader.has_trailing_bytes
+            or len(self.refused_ids) >= MAX_REFUSED_IDS
+        )
         self._pool.finish(
             self, attempt_id, reply, reusable, reader.keep_alive_s
         )
@@ -184,7 +199,7 @@
     ) -> None:
         """Sends a request on an idle connection or a new one."""
         entry = action.entry
-        connection = self._pop_idle(entry, action.proven)
+        connection = self._pop_idle(entry, action.proven, request.request_id)
         if connection is not None:
             self._busy[action.attempt_id] = connection
             payload = self.dialect.encode_attempt(
@@ -286,12 +301,15 @@
         return len(self._busy), sum(map(len, self._idle.values()))
 
     def _pop_idle(
-        self, entry: servers.ServerEntry, proven: bool
+        self, entry: servers.ServerEntry, proven: bool, request_id: str
     ) -> Connection | None:
-        idle = self._idle.get(entry.incarnation)
+        idle = self._idle.get(entry.incarnation, [])
         now = self._read_clock()
-        while idle:
-            connection = idle.pop()
+        for index in range(len(idle) - 1, -1, -1):
+            connection = idle[index]
+            if request_id in connection.refused_ids:
+                continue
+            del idle[index]
             if connection.closed:
                 continue
             recent = now - connection.idle_since <= RECENT_REPLY_S
