Keep to a wait although the entry of its server lapses and returns

A server whose entry lapses and returns as the same incarnation is a new object, so a wait that it had asked for was forgotten.

Change: the registry remembers the waits of the last 256 removed servers.

Result: the new test failed before. No other behaviour changes; an attribute of suspects is renamed.

--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -97,7 +97,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or fingerprint in self._answered:
             return False
-        return suspect.told or len(suspect.servers) >= MIN_ISOLATING_CRASHES
+        return suspect.reported or len(suspect.servers) >= MIN_ISOLATING_CRASHES
 
     def may_hedge(self, fingerprint: str) -> bool:
         """Returns whether a slow run may be joined by a second one."""
@@ -386,7 +386,7 @@
             crash for crash in suspect.crashes if crash.at > suspect.cleared_at
         ]
         suspect.servers.clear()
-        suspect.told = False
+        suspect.reported = False
         if not suspect.crashes:
             suspect.stops = 0
             suspect.stopped_until = float('-inf')
@@ -427,7 +427,7 @@
         ]
         for crash in crashes:
             self._add_crash(suspect, crash)
-        suspect.told = suspect.told or bool(crashes)
+        suspect.reported = suspect.reported or bool(crashes)
         if crashes:
             if notice.stops > suspect.stops:
                 suspect.stops = notice.stops
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -6,6 +6,7 @@
 is still chosen if all other servers cost more.
 """
 
+import collections
 import collections.abc
 import math
 import random
@@ -30,6 +31,7 @@
 JITTER = 0.1  # so that nodes with equal observations choose differently
 OVERDUE_COST = 20.0
 EJECTION_COST = 50.0
+MAX_REMEMBERED = 256  # removed servers that want no requests
 SUSPECT_COST = 20.0  # of a request that may crash the server
 
 
@@ -280,11 +282,18 @@
 
 
 class Registry:
-    """Usable servers by service."""
+    """Usable servers by service.
+
+    An entry may lapse and return as the same incarnation; what that asked for
+    still holds then.
+    """
 
     def __init__(self):
         self.by_service: dict[str, dict[str, Server]] = {}
         self._service_of: dict[str, str] = {}
+        self._closed_until: collections.OrderedDict[tuple[str, int], float] = (
+            collections.OrderedDict()
+        )
 
     def find(self, server_id: str) -> Server | None:
         """Returns a usable server, or None."""
@@ -309,17 +318,25 @@
         if entry.draining:
             return
         servers = self.by_service.setdefault(entry.service, {})
-        servers[entry.server_id] = Server(entry, now)
+        server = servers[entry.server_id] = Server(entry, now)
+        server.closed_until = self._closed_until.pop(entry.incarnation, 0.0)
         self._service_of[entry.server_id] = entry.service
 
     def remove(self, server_id: str) -> None:
         """Removes a server; its running attempts continue."""
         service = self._service_of.pop(server_id, None)
         if service is not None:
-            del self.by_service[service][server_id]
+            self._remember(self.by_service[service].pop(server_id))
             if not self.by_service[service]:
                 del self.by_service[service]
 
+    def _remember(self, server: Server) -> None:
+        if server.closed_until:
+            incarnation = server.entry.incarnation
+            self._closed_until[incarnation] = server.closed_until
+            if len(self._closed_until) > MAX_REMEMBERED:
+                self._closed_until.popitem(last=False)
+
 
 def choose_server(
     servers: collections.abc.Iterable[Server],
--- a/packages/core/balsamshore_core/forwarding/suspects.py
+++ b/packages/core/balsamshore_core/forwarding/suspects.py
@@ -62,7 +62,7 @@
         changed_at: When this node last learned something about it.
         known_to_peers: Whether other nodes were told, or told this one.
         servers: Incarnations that crashed under it, as this node saw itself.
-        told: Whether another node told of a crash under it.
+        reported: Whether another node reported a crash under it.
     """
 
     __slots__ = (
@@ -70,10 +70,10 @@
         'cleared_at',
         'crashes',
         'known_to_peers',
+        'reported',
         'servers',
         'stopped_until',
         'stops',
-        'told',
         'unconfirmed',
     )
 
@@ -86,7 +86,7 @@
         self.changed_at = now
         self.known_to_peers = False
         self.servers: set[tuple[str, int]] = set()
-        self.told = False
+        self.reported = False
 
     def is_suspected(self) -> bool:
         """Returns whether it must run alone."""
--- a/tests/forwarding/test_statements.py
+++ b/tests/forwarding/test_statements.py
@@ -225,6 +225,21 @@
     assert world.answers[request].answer.outcome == 'complete'
 
 
+def test_a_wait_holds_though_the_entry_of_the_server_lapses_and_returns():
+    world = make_world()
+    close(world, 's0-0', 's0-1', wait_s=5.0)
+    world.ask(world.plain, 0.3)
+    world.run(0.5)
+    entry = world.servers['s0-0'].entry
+    world.board.registry.remove('s0-0')
+    world.board.registry.put(entry, world.now)
+    open_again(world)
+    request = world.ask(world.plain)
+    assert request in world.answers
+    assert world.answers[request].answer.reason == 'servers_closed'
+    assert not world.runs
+
+
 def test_a_refusal_without_proof_is_not_repeated_if_it_may_run_once_only():
     world = make_world()
     for server in world.servers.values():
