--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -214,6 +214,7 @@
         'bootstrap': True,
         'portRange.0': 5, 'seeds': ['127.0.0.2:3'], 'limits.cpuShare': 0.5,
         'limits.cores': 2, 'bounds.graceS': 6, 'bounds.retryRatio': 0.2,
+        'bounds.drainMs': 5000,
         'bounds.retrySlack': 54, 'bounds.retryWindowS': 10,
         'platform.address': '127.0.0.1:6', **changes,
     }  # fmt: skip
@@ -231,6 +232,7 @@
     assert decoded.host.capacity == 1.0
     assert decoded.host.seeds == ('127.0.0.2',)
     assert decoded.host.stream_port == 3
+    assert decoded.host.drain_s == 5.0
     assert decoded.store_address == '127.0.0.1:6'
 
 
