Probe a node again when all servers of the soak stood still

A node can't do better: all servers are silent for longer than its goal of 300 ms, and the answer says what it lacks.

The soak now measures how late its own timers run during the probe and asks again, five times at most, if all servers stood still for half of the goal; the violation states the time.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -36,6 +36,7 @@
 from adapter import ledgers
 from adapter import links
 from adapter import sabotage
+from adapter import stalls
 
 from balsamshore_node.forwarding import messages
 from balsamshore_standins import proxy
@@ -49,6 +50,8 @@
 MEAN_FAULT_PAUSE_S = 0.5  # the pause between two faults is random
 SERVER_WAITS = ('', '', '0', '0.5', '2', 'soon')  # 'soon' is unreadable
 RECOVERY_S = 8.0
+MIN_STALL_S = 0.15  # of all servers; half of the goal of /q/x
+MAX_PROBES = 5  # of a node, while all servers stand still
 DEADLINE_MS = 2000  # of each caller
 REFUSAL_STATUSES = (429, 503)
 CRASHING_TARGETS = ('/p/crash', '/q/crash')
@@ -382,12 +385,30 @@
                     platform.start_node(f'n{index}', index)
             await asyncio.sleep(0.2)
         for index in range(1, self.nodes + 1):
-            response = await platform.send_request(index, '/q/x')
-            if response.status != 200 or 'missing-parts' in response.headers:
-                self.violations.append(f'node {index} does not recover')
+            await self.check_recovery(index)
             self.check_versions(index)
             await self.check_routes(index)
 
+    async def check_recovery(self, index):
+        """Checks that a node's answer is complete when servers reply in time.
+
+        While this process stands still, no server of it replies; such an
+        answer shows nothing about the node, which is asked again.
+        """
+        for _ in range(MAX_PROBES):
+            async with stalls.measure() as measured:
+                response = await self.platform.send_request(index, '/q/x')
+            if response.status == 200 and (
+                'missing-parts' not in response.headers
+            ):
+                return
+            if measured.longest_s < MIN_STALL_S:
+                break
+        self.violations.append(
+            f'node {index} does not recover: {response.status}, servers stood '
+            f'still for {measured.longest_s:.3f} s'
+        )
+
     def check_versions(self, index):
         """Checks that no version goes back and the newest one is in force."""
         processes = self.platform.list_versions(f'n{index}')
--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -1,9 +1,13 @@
 """Short seeded runs of the soak test, and tests that its checks can fail."""
 
+import asyncio
 import collections
+import contextlib
+import time
 
 import pytest
 from adapter import soak
+from adapter import stalls
 
 
 @pytest.mark.parametrize('seed', [1, 2])
@@ -51,3 +55,55 @@
     soak_run = make_soak(tmp_path)
     soak_run.record_truncated_answer(2, started=True)
     assert soak_run.violations == ['node 2 truncated an answer']
+
+
+class Platform:
+    """Answers the first probes in part, then in full."""
+
+    def __init__(self, partial_count):
+        self.partial_count = partial_count
+
+    async def send_request(self, index, target):
+        headers = {'missing-parts': '1'} if self.partial_count > 0 else {}
+        self.partial_count -= 1
+        return soak.emulator.CallerResponse('r1', 200, headers, b'')
+
+
+@pytest.mark.parametrize(
+    ('stalls_s', 'recovers'),
+    [
+        ([], True),
+        ([0.0], False),
+        ([0.1], False),
+        ([0.45], True),
+        ([0.45, 0.0], False),
+        ([0.45] * 4, True),
+        ([0.45] * 5, False),
+    ],
+)
+def test_a_node_answers_in_full_unless_all_servers_stood_still(
+    tmp_path, monkeypatch, stalls_s, recovers
+):
+    remaining_s = [*stalls_s, 0.0]
+
+    @contextlib.asynccontextmanager
+    async def measure():
+        measured = stalls.Stalls()
+        measured.longest_s = remaining_s.pop(0)
+        yield measured
+
+    monkeypatch.setattr(stalls, 'measure', measure)
+    soak_run = make_soak(tmp_path)
+    soak_run.platform = Platform(len(stalls_s))
+    asyncio.run(soak_run.check_recovery(1))
+    assert (not soak_run.violations) == recovers
+
+
+def test_a_process_measures_how_long_it_stood_still():
+    async def stand_still():
+        async with stalls.measure() as measured:
+            await asyncio.sleep(0.05)
+            time.sleep(0.3)
+        return measured.longest_s
+
+    assert asyncio.run(stand_still()) >= 0.28
