Split the decisions about requests by what they decide

Methods were moved by a script, not rewritten; two names changed place: the share of connections is a function of the board, the retry budget of a service a method of it.

--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -296,5 +296,15 @@
             return candidates.values()
         return self.departed.list_usable(candidates.values(), now)
 
+    def get_retry_budget(self, service: str) -> retrybudgets.RetryBudget:
+        """Returns the retry budget of a service; creates it if needed."""
+        budget = self.exchanges.budgets.get(service)
+        if budget is None:
+            budget = retrybudgets.RetryBudget(
+                self.retry_budget_limits, self.started_at
+            )
+            self.exchanges.budgets[service] = budget
+        return budget
+
 
 Actions = list[typing.Any]
--- /dev/null
+++ b/packages/core/balsamshore_core/forwarding/refusals.py
@@ -0,0 +1,73 @@
+"""Which requests are refused at once, before anything is sent.
+
+A request is refused if it is stopped, because servers crash under it, if too
+few of its parts can reach a server that wants requests, and if its time is
+over or the rate limits of servers make it wait past its deadline.
+"""
+
+from balsamshore_core.forwarding import answers
+from balsamshore_core.forwarding import board as boards
+from balsamshore_core.forwarding import isolation
+from balsamshore_core.forwarding import rates
+from balsamshore_core.forwarding import statements
+
+
+class Refusals:
+    """Decides which requests are refused at once."""
+
+    def __init__(
+        self,
+        board: boards.Board,
+        suspects_isolation: isolation.Isolation,
+        server_rates: rates.Rates,
+        server_statements: statements.Statements,
+    ):
+        self._board = board
+        self._isolation = suspects_isolation
+        self._rates = server_rates
+        self._statements = server_statements
+
+    def list_parts_out(
+        self, exchange: boards.Exchange, now: float
+    ) -> list[tuple[boards.Part, str]]:
+        """Lists the parts that no server may get in time, and why."""
+        closed = [
+            part
+            for part in exchange.parts
+            if self._statements.is_out(part, now)
+        ]
+        parts_out = [(part, 'servers_closed') for part in closed]
+        for part in self._rates.list_parts_out(exchange, now):
+            if part not in closed:
+                parts_out.append((part, 'rate_limited'))
+        return parts_out
+
+    def find_refusal(
+        self,
+        exchange: boards.Exchange,
+        parts_out: list[tuple[boards.Part, str]],
+        now: float,
+    ) -> str:
+        """Returns why a request cannot be served now, or ''.
+
+        Args:
+            exchange: The request.
+            parts_out: Its parts that no server may get in time, and why.
+            now: Monotonic seconds.
+        """
+        if self._isolation.is_stopped(exchange, now):
+            return 'quarantined'
+        reachable = sum(
+            bool(self._board.list_usable(part.service, now))
+            for part in exchange.parts
+        )
+        if not reachable or (
+            reachable
+            < exchange.route.coverage_floor * len(exchange.parts) - 1e-9
+        ):
+            return 'no_replicas'
+        if exchange.deadline_at <= exchange.arrived_at:
+            return 'no_time'
+        if parts_out and answers.is_floor_missed(exchange, len(parts_out)):
+            return parts_out[0][1]
+        return ''
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -8,7 +8,7 @@
 from forwarding import clusters
 from forwarding import worlds
 
-from balsamshore_core.forwarding import exchanges
+from balsamshore_core.forwarding import repeats
 
 MODES = ('ok', 'ok', 'full', 'reset', 'silent', 'over_limit', 'slow', 'failing')
 KINDS = ('plain', 'scattered', 'once', 'poison', 'poison-all')
@@ -83,13 +83,13 @@
 
 
 def test_a_leak_of_one_attempt_is_noticed(monkeypatch):
-    find_limit = exchanges._find_limit
+    find_limit = repeats._find_limit
 
     def find_later_limit(part, now):
         limit, used = find_limit(part, now)
         leaks = limit == 'attempts_used' and part.runs <= 3
         return ('', '') if leaks else (limit, used)
 
-    monkeypatch.setattr(exchanges, '_find_limit', find_later_limit)
+    monkeypatch.setattr(repeats, '_find_limit', find_later_limit)
     with pytest.raises(AssertionError):
         test_no_request_runs_on_more_servers_than_allowed()
--- a/tests/forwarding/test_exchanges.py
+++ b/tests/forwarding/test_exchanges.py
@@ -9,7 +9,7 @@
 import pytest
 from forwarding import worlds
 
-from balsamshore_core.forwarding import exchanges
+from balsamshore_core.forwarding import endings
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 
@@ -426,7 +426,7 @@
             }
             assert len(runs) <= 2
     assert not world.attempts
-    assert exchanges.LINGER_S < 0.5
+    assert endings.LINGER_S < 0.5
 
 
 REPLAY = textwrap.dedent(
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -10,6 +10,7 @@
 from balsamshore_core.forwarding import fleet as fleets
 from balsamshore_core.forwarding import follower as followers
 from balsamshore_core.forwarding import placement
+from balsamshore_core.forwarding import sends
 from balsamshore_node.forwarding import gossip
 
 STEP_S = 0.1
@@ -331,7 +332,7 @@
     for name in names:
         node = fleet.nodes[name].fleet
         world.board.senders = node.count_senders()
-        total += world.exchanges.find_connection_share('s0')
+        total += sends.find_connection_share(world.board, 's0')
     return total
 
 
