--- a/tests/adapter/sabotage.py
+++ b/tests/adapter/sabotage.py
@@ -19,6 +19,7 @@
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
 from balsamshore_node.forwarding import host
+from balsamshore_node.forwarding import pending
 from balsamshore_platform import core
 from balsamshore_platform import documents
 from balsamshore_platform import headers
@@ -164,7 +165,7 @@
     """
 
     def distinguish_repeats():
-        handle = host.Host.handle_request
+        handle = pending.PendingRequests.handle_request
         compute = fingerprints.compute_fingerprint
         found = []
 
@@ -175,7 +176,7 @@
         def compute_with_difference(*arguments):
             return f'{compute(*arguments)}-{found[0]}'[:200]
 
-        host.Host.handle_request = handle_and_note
+        pending.PendingRequests.handle_request = handle_and_note
         fingerprints.compute_fingerprint = compute_with_difference
 
     return distinguish_repeats
--- a/tests/forwarding/test_gossip.py
+++ b/tests/forwarding/test_gossip.py
@@ -12,7 +12,7 @@
 from balsamshore_core.forwarding import quarantine
 from balsamshore_core.forwarding import suspects
 from balsamshore_node.forwarding import gossip
-from balsamshore_node.forwarding import host
+from balsamshore_node.forwarding import reports as reports_sender
 
 RECORD = fleet.NodeRecord(
     'n1', '127.0.0.1', 5, 6, 'serving', '127.0.0.1:1', 'a', 1.0, 0.1, True,
@@ -94,7 +94,7 @@
 def test_a_datagram_of_rate_reports_fits_one_packet():
     reports = {
         f'i-{n:010}': ratelimits.RateReport(2**41, 9.25, 0.125)
-        for n in range(host.MAX_SERVER_REPORTS)
+        for n in range(reports_sender.MAX_SERVER_REPORTS)
     }
     payload = gossip.Payload((RECORD,), revision=2**40, rate_reports=reports)
     assert len(gossip.encode_payload(payload)) <= 1_400
@@ -113,7 +113,7 @@
 def test_reports_of_draining_servers_are_decoded_as_encoded():
     reports = {
         f'i-{n:010}': departures.DepartureReport(2**41, 0.125)
-        for n in range(host.MAX_SERVER_REPORTS)
+        for n in range(reports_sender.MAX_SERVER_REPORTS)
     }
     payload = gossip.Payload(
         (RECORD,), revision=2**40, departure_reports=reports
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -25,7 +25,7 @@
     node = host.Host(
         SETTINGS, None, test_catalog.Decoder(), None, (), lambda: None, {}
     )
-    monkeypatch.setattr(node, '_start_fetches', lambda: None)
+    monkeypatch.setattr(node._updates, '_start_fetches', lambda: None)
     return node
 
 
@@ -33,13 +33,15 @@
     node = make_host(monkeypatch)
     reader = make_record(9, 'b', 40)
     payload = gossip.Payload((reader,), revision=12)
-    node._offer_holders('h1', payload, 0.0)
-    assert node._fetches.start(12, 0.0) == []
-    assert node._fetches.start(12, transfers.find_delay(False)) == ['h9']
+    node._updates._offer_holders('h1', payload, 0.0)
+    assert node._updates._fetches.start(12, 0.0) == []
+    assert node._updates._fetches.start(12, transfers.find_delay(False)) == [
+        'h9'
+    ]
 
 
 def test_a_node_is_no_source_for_itself(monkeypatch):
     node = make_host(monkeypatch)
     payload = gossip.Payload((make_record(0, 'a', 40),), revision=0)
-    node._offer_holders('h1', payload, 0.0)
-    assert node._fetches.find_due(9.0) is None
+    node._updates._offer_holders('h1', payload, 0.0)
+    assert node._updates._fetches.find_due(9.0) is None
