Ignore datagrams while a node still opens its sockets

Cause, found by reading while the host was split: the socket for datagrams is open some milliseconds before the node's tasks run. A datagram of a peer that names a newer revision started a fetch that nothing carried out: the handler ended with an AttributeError, and the place of the fetch stayed taken for good (two at once are allowed); one that brought a first configuration set the flag that callers are accepted, and no listener was started. The test failed before ('no attribute _loop').

Datagrams are now ignored until the tasks run; what they say comes again with the next heartbeats. Why not opened later: a port in use has to be reported before, as one error.

--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -126,6 +126,7 @@
         self._read_settings = read_settings
         self._listening_sockets = listening_sockets
         self._accepting = False
+        self._running = False
         self._usage = usage.Usage(now)
         self._gossip = gossip.Gossip(self._handle_payload, settings.gossip_port)
         self._reports = reports.Reports(
@@ -197,6 +198,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self._updates.open(tasks)
+            self._running = True
             tasks.start_soon(self._watch_signals)
             tasks.start_soon(self._run_ticks)
             await self._stopped.wait()
@@ -208,6 +210,12 @@
         return self._listening_sockets.get(address) or sockets.listen(address)
 
     def _handle_payload(self, peer_host: str, payload: gossip.Payload) -> None:
+        """Handles a datagram, unless this node is still opening its sockets.
+
+        What it says comes again, with the next heartbeats.
+        """
+        if not self._running:
+            return
         now = self.now()
         self._reports.greet(peer_host, payload.records, now)
         responses = self.fleet.handle_message(
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -40,6 +40,16 @@
     ]
 
 
+def test_a_datagram_while_sockets_are_opened_starts_nothing():
+    node = host.Host(
+        SETTINGS, None, test_catalog.Decoder(), None, (), lambda: None, {}
+    )
+    payload = gossip.Payload((make_record(1, 'a', 40),), revision=40)
+    node._handle_payload('h1', payload)
+    assert node._updates._fetches.start(0, node.now()) == []
+    assert node._updates._fetches.list_obsolete(40) == []
+
+
 def test_a_node_is_no_source_for_itself(monkeypatch):
     node = make_host(monkeypatch)
     payload = gossip.Payload((make_record(0, 'a', 40),), revision=0)
