Send departures of servers to a process that is new

Trouble of other operators: after a restart a server that had left is in use again. It could happen here: what servers say in Server-Leaving was sent once, to the nodes active then; a node killed or stopped and started again used a0 and b1, which had said that they leave, once each (test on real processes, SIGKILL and SIGTERM: 2 requests each, 0 allowed; failed before).

A node that first hears of a process sends it, with the notices about crashing requests, what it knows of servers that are published as usable or that said so within the drain time. Both cases pass now.

--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -296,6 +296,24 @@
             return candidates.values()
         return self.departed.list_usable(candidates.values(), now)
 
+    def list_departures(
+        self, now: float
+    ) -> dict[str, departures.DepartureReport]:
+        """Lists what a new node should know of draining servers, by id.
+
+        That is what is published here as usable, and what may be published
+        again because the server may still run.
+        """
+        listed = {}
+        for server_id, report in self.departed.list_reports(now).items():
+            server = self.registry.find(server_id)
+            published = (
+                server is not None and server.entry.born_ms == report.born_ms
+            )
+            if published or report.age_s < self.departed.drain_s:
+                listed[server_id] = report
+        return listed
+
     def get_retry_budget(self, service: str) -> retrybudgets.RetryBudget:
         """Returns the retry budget of a service; creates it if needed."""
         budget = self.exchanges.budgets.get(service)
--- a/packages/core/balsamshore_core/forwarding/departures.py
+++ b/packages/core/balsamshore_core/forwarding/departures.py
@@ -60,6 +60,13 @@
             self._heard_at.popitem(last=False)
         return known_at is None
 
+    def list_reports(self, now: float) -> dict[str, DepartureReport]:
+        """Lists what was heard so far, by server id; the latest of an id."""
+        return {
+            server_id: DepartureReport(born_ms, now - heard_at)
+            for (server_id, born_ms), heard_at in self._heard_at.items()
+        }
+
     def list_usable(
         self,
         candidates: collections.abc.Iterable[servers.Server],
--- a/packages/node/balsamshore_node/forwarding/reports.py
+++ b/packages/node/balsamshore_node/forwarding/reports.py
@@ -7,6 +7,7 @@
 
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import catalog as catalogs
+from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import fleet as fleets
 from balsamshore_core.forwarding import rumors
 from balsamshore_node.forwarding import gossip
@@ -58,8 +59,10 @@
         records: tuple[fleets.NodeRecord, ...],
         now: float,
     ) -> None:
-        """Sends notices to nodes that are new here."""
+        """Sends notices and departures to a sender that is new here."""
         self._send_notices(self._rumors.greet(peer_host, records, now))
+        if records and self._fleet.is_new_process(records[0]):
+            self._send_departures([peer_host], self._board.list_departures(now))
 
     def repeat_notices(
         self, messages: list[fleets.GossipMessage], now: float
@@ -89,19 +92,12 @@
             gossip.Payload(own_records, revision=revision, rate_reports=batch)
             for batch in _split_reports(rate_reports)
         ]
-        payloads += [
-            gossip.Payload(
-                own_records, revision=revision, departure_reports=batch
-            )
-            for batch in _split_reports(departure_reports)
-        ]
-        if not payloads:
+        if not payloads and not departure_reports:
             return
         hosts = [r.host for r in self._fleet.list_alive(now) if r.active]
         for payload in payloads:
-            datagram = gossip.encode_payload(payload)
-            for peer_host in hosts:
-                self._gossip.send(peer_host, datagram)
+            self._send(hosts, payload)
+        self._send_departures(hosts, departure_reports)
 
     def spread_quarantine(self) -> None:
         """Sends under which requests servers crashed; logs the decisions."""
@@ -126,15 +122,32 @@
         self, messages: collections.abc.Iterable[rumors.NoticeMessage]
     ) -> None:
         for message in messages:
-            datagram = gossip.encode_payload(
-                gossip.Payload(
-                    (self._fleet.own_record,),
-                    revision=self._catalog.revision,
-                    notices=message.notices,
-                )
+            payload = gossip.Payload(
+                (self._fleet.own_record,),
+                revision=self._catalog.revision,
+                notices=message.notices,
             )
-            for peer_host in message.recipients:
-                self._gossip.send(peer_host, datagram)
+            self._send(message.recipients, payload)
+
+    def _send_departures(
+        self,
+        hosts: collections.abc.Sequence[str],
+        departure_reports: dict[str, departures.DepartureReport],
+    ) -> None:
+        for batch in _split_reports(departure_reports):
+            payload = gossip.Payload(
+                (self._fleet.own_record,),
+                revision=self._catalog.revision,
+                departure_reports=batch,
+            )
+            self._send(hosts, payload)
+
+    def _send(
+        self, hosts: collections.abc.Sequence[str], payload: gossip.Payload
+    ) -> None:
+        datagram = gossip.encode_payload(payload)
+        for peer_host in hosts:
+            self._gossip.send(peer_host, datagram)
 
 
 def _split_reports(
--- a/tests/adapter/test_statements.py
+++ b/tests/adapter/test_statements.py
@@ -1,6 +1,7 @@
 """Servers that say that they leave or want nothing, with the real program."""
 
 import asyncio
+import signal
 
 import pytest
 from adapter import ledgers
@@ -54,6 +55,29 @@
         assert count_late(platform, ['a0'], told_at) == 0
 
 
+@pytest.mark.parametrize('signal_number', [signal.SIGKILL, signal.SIGTERM])
+async def test_a_node_that_starts_again_sends_nothing_to_a_leaving_server(
+    tmp_path, signal_number
+):
+    async with test_program.start_platform(
+        tmp_path, NODES, '127.207'
+    ) as platform:
+        platform.leaving_servers |= {'a0', 'b1'}
+        await load(platform, 2.0)
+        assert len(platform.ledger.departures) >= NODES
+        platform.send_signal('n1', signal_number)
+        await asyncio.to_thread(platform.processes['n1'].wait)
+        platform.start_node('n1', 1)
+        await platform.wait_ready(1)
+        since = asyncio.get_running_loop().time()
+        for _ in range(12):
+            answer = await platform.send_request(1, '/q/x')
+            assert (answer.status, 'missing-parts' in answer.headers) == (
+                200, False,
+            )  # fmt: skip
+        assert count_late(platform, ['a0', 'b1'], since) == 0
+
+
 async def test_all_servers_of_a_shard_that_leave_get_nothing_after_a_while(
     tmp_path,
 ):
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -40,6 +40,28 @@
     ]
 
 
+def test_a_new_process_is_told_of_draining_servers(monkeypatch):
+    node = make_host(monkeypatch)
+    sent = []
+    monkeypatch.setattr(
+        node._gossip,
+        'send',
+        lambda host, datagram: sent.append(
+            (host, gossip.decode_payload(datagram).departure_reports)
+        ),
+    )
+    now = node.now()
+    node.board.departed.record(('a0', 5), now - 1.0)
+    node.board.departed.record(('a1', 7), now - 900.0)  # ended long ago
+    node._reports.greet('h1', (make_record(1, 'a', 0),), now)
+    ((host, reports),) = sent
+    assert (host, list(reports), reports['a0'].born_ms) == ('h1', ['a0'], 5)
+    assert 0.9 < reports['a0'].age_s < 1.2
+    node.fleet.handle_message('h1', (make_record(1, 'a', 0),), now)
+    node._reports.greet('h1', (make_record(1, 'a', 0),), now)
+    assert len(sent) == 1
+
+
 def test_a_datagram_while_sockets_are_opened_starts_nothing():
     node = host.Host(
         SETTINGS, None, test_catalog.Decoder(), None, (), lambda: None, {}
