Answer requests that were sent when a node stops listening

It could happen here, 3 s after the stop signal: closing the listening socket reset connections that the kernel had accepted but the loop had not; connections were closed as idle although a request lay unread in the kernel, or although they were new and their first request was on its way. Three tests over real sockets failed before.

Now waiting connections are accepted before the socket is closed, a connection with unread bytes is kept, a new one for 0.5 s; the process ends at the next tick at which none is left. A request that arrives later on a connection that was idle for 3 s of leaving can still be lost, as with any server that closes. Our own interface is served by hypercorn and was not examined.

--- a/packages/node/balsamshore_node/forwarding/callers.py
+++ b/packages/node/balsamshore_node/forwarding/callers.py
@@ -15,6 +15,7 @@
 # that have been read by then are served.
 PAUSE_THRESHOLD_REQUESTS = 8
 CLOSE_DELAY_S = 0.5  # lets the caller read the response to an invalid request
+FIRST_REQUEST_S = 0.5  # a new connection's first request takes at most this
 
 
 class Handler(Protocol):
@@ -66,6 +67,7 @@
         '_idle_since',
         '_limits',
         '_disconnected',
+        '_opened_at',
         '_reader',
         '_timer',
         'busy',
@@ -86,6 +88,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
         self._disconnected = False
+        self._opened_at: float | None = None  # until its first request
         self.transport: asyncio.Transport | None = None
         self.busy = False
         self.closing = False
@@ -99,6 +102,7 @@
         self.caller = peer[0] if peer else ''
         sockets.enable_dead_peer_detection(transport.get_extra_info('socket'))
         self.listener.connections.add(self)
+        self._opened_at = asyncio.get_running_loop().time()
         self._start_timer(self._limits.idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -154,11 +158,23 @@
             self.transport.close()
 
     def close_when_idle(self) -> None:
-        """Closes the connection now, or after the current request."""
+        """Closes the connection now, or after a request that has been sent."""
         self.closing = True
-        if not self.busy and self._reader.current is None:
+        reading = self._reader.current is not None
+        if not (self.busy or reading or self._expects_request()):
             self.close()
 
+    def _expects_request(self) -> bool:
+        """Returns whether the caller has, or may have, sent a request."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        if sockets.has_unread(self.transport.get_extra_info('socket')):
+            return True
+        if self._opened_at is None:
+            return False
+        age_s = asyncio.get_running_loop().time() - self._opened_at
+        return age_s < FIRST_REQUEST_S
+
     def _start_next_request(self) -> None:
         reader = self._reader
         if reader.ready:
@@ -167,6 +183,7 @@
                 self.transport.resume_reading()
             self._stop_timer()
             self.busy = True
+            self._opened_at = None
             if not raw.keep_alive:
                 self.closing = True
             self._handler.handle_request(self, raw)
@@ -216,23 +233,49 @@
         self.connections: set[Connection] = set()
         self._handler = handler
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._opening: set[asyncio.Task] = set()
+
+    @property
+    def listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._server is not None
+
+    @property
+    def in_use(self) -> bool:
+        """Whether a connection is open, or being opened."""
+        return bool(self.connections or self._opening)
 
     async def accept(self, listening: socket.socket) -> None:
         """Starts to accept connections from a listening socket."""
         loop = asyncio.get_running_loop()
+        self._socket = listening
         self._server = await loop.create_server(
-            lambda: Connection(self, self._handler),
-            sock=listening,
-            backlog=sockets.BACKLOG,
+            self._make_connection, sock=listening, backlog=sockets.BACKLOG
         )
 
     def close(self) -> None:
-        """Stops listening; open connections stay open."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        """Stops listening; open connections stay open.
+
+        Those that the kernel has accepted by now are taken first, as closing
+        the socket would reset them.
+        """
+        if self._server is None or self._socket is None:
+            return
+        loop = asyncio.get_running_loop()
+        for accepted in sockets.accept_waiting(self._socket):
+            task = loop.create_task(
+                loop.connect_accepted_socket(self._make_connection, accepted)
+            )
+            self._opening.add(task)
+            task.add_done_callback(self._opening.discard)
+        self._server.close()
+        self._server = None
 
     def close_idle(self) -> None:
         """Closes each connection as soon as it has no request in progress."""
         for connection in tuple(self.connections):
             connection.close_when_idle()
+
+    def _make_connection(self) -> Connection:
+        return Connection(self, self._handler)
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -375,9 +375,10 @@
         assert self._shutdown_started_at is not None
         elapsed_s = now - self._shutdown_started_at
         if elapsed_s >= LEAVING_ACCEPT_S:
+            listening = self._front.listening
             self._front.close()
             self._front.close_idle()
-            if not self._requests.count() and not self._front.connections:
+            if not (listening or self._requests.count() or self._front.in_use):
                 self._stopped.set()
         if elapsed_s >= self.settings.grace_s - KILL_MARGIN_S:
             self._requests.perform(self.exchanges.stop(now))
--- a/packages/node/balsamshore_node/forwarding/sockets.py
+++ b/packages/node/balsamshore_node/forwarding/sockets.py
@@ -1,6 +1,10 @@
 """Listening sockets, and TCP options that detect dead peers."""
 
+import collections.abc
+import fcntl
 import socket
+import struct
+import termios
 
 USER_TIMEOUT_MS = 3_000  # data unacknowledged for longer ends a connection
 KEEPALIVE_IDLE_S = 2
@@ -42,6 +46,27 @@
     return sock
 
 
+def accept_waiting(
+    listening: socket.socket,
+) -> collections.abc.Iterator[socket.socket]:
+    """Accepts the connections that wait at a non-blocking socket."""
+    while True:
+        try:
+            accepted, _ = listening.accept()
+        except ConnectionAbortedError:
+            continue  # the caller has reset the connection meanwhile
+        except OSError:
+            return  # nobody waits, or the process has too many files open
+        accepted.setblocking(False)
+        yield accepted
+
+
+def has_unread(sock: socket.socket) -> bool:
+    """Returns whether the kernel holds received bytes of a connection."""
+    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    return bool(struct.unpack('i', count)[0])
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Splits `host:port`."""
     host, port = address.rsplit(':', 1)
--- /dev/null
+++ b/tests/forwarding/test_callers.py
@@ -0,0 +1,113 @@
+"""A stop of the listener for callers cuts no request that was sent."""
+
+import asyncio
+import socket
+
+import pytest
+
+from balsamshore_core.forwarding import routes
+from balsamshore_node.forwarding import callers
+from balsamshore_node.forwarding import sockets
+
+pytestmark = pytest.mark.anyio
+
+REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n'
+COUNT = 20  # connections
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio', {'use_uvloop': True}
+
+
+class Handler:
+    """Answers each request at once."""
+
+    def handle_request(self, connection, raw):
+        connection.send_answer(callers.encode_response(200), False)
+
+    def handle_disconnect(self, connection):
+        pass
+
+    def record_rejection(self, connection, error_status):
+        pass
+
+
+@pytest.fixture
+async def listener():
+    listener = callers.Listener(Handler(), routes.CallerLimits())
+    listening = sockets.listen('127.0.0.1:0')
+    listener.address = listening.getsockname()
+    await listener.accept(listening)
+    yield listener
+    listener.close()
+
+
+def connect(listener):
+    """Returns a connection that the kernel has accepted, but no loop yet."""
+    return socket.create_connection(listener.address, timeout=2.0)
+
+
+async def read(sock):
+    """Returns the answer, or what is left of a connection without one."""
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    try:
+        return await asyncio.wait_for(loop.sock_recv(sock, 4096), 2.0)
+    except OSError as error:
+        return repr(error).encode()
+
+
+async def stop(listener):
+    listener.close()
+    while listener.in_use:
+        listener.close_idle()
+        await asyncio.sleep(0.01)
+
+
+async def test_connections_that_wait_at_a_stop_are_answered(listener):
+    waiting = [connect(listener) for _ in range(COUNT)]
+    for sock in waiting:
+        sock.sendall(REQUEST)
+    await stop(listener)
+    for sock in waiting:
+        assert (await read(sock)).startswith(b'HTTP/1.1 200 ')
+    with pytest.raises(ConnectionRefusedError):
+        connect(listener)
+
+
+async def test_a_new_connection_may_send_its_request_after_a_stop(listener):
+    waiting = [connect(listener) for _ in range(COUNT)]
+    await asyncio.sleep(0.05)
+    assert len(listener.connections) == COUNT
+    stopping = asyncio.create_task(stop(listener))
+    await asyncio.sleep(0.1)
+    for sock in waiting:
+        sock.sendall(REQUEST)
+    await stopping
+    for sock in waiting:
+        assert (await read(sock)).startswith(b'HTTP/1.1 200 ')
+
+
+async def test_a_request_that_is_not_read_yet_is_answered(listener):
+    used = [connect(listener) for _ in range(COUNT)]
+    for sock in used:
+        sock.sendall(REQUEST)
+        assert (await read(sock)).startswith(b'HTTP/1.1 200 ')
+    for sock in used:
+        sock.setblocking(True)
+        sock.sendall(REQUEST)
+    await stop(listener)
+    for sock in used:
+        assert (await read(sock)).startswith(b'HTTP/1.1 200 ')
+
+
+async def test_connections_without_a_request_do_not_hold_up_a_stop(listener):
+    used, silent = connect(listener), connect(listener)
+    used.sendall(REQUEST)
+    await read(used)
+    began_at = asyncio.get_running_loop().time()
+    await stop(listener)
+    took_s = asyncio.get_running_loop().time() - began_at
+    assert took_s < callers.FIRST_REQUEST_S + 0.5
+    assert [await read(sock) for sock in (used, silent)] == [b'', b'']
