--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: help install demo test lint format bench bench-transport experiment \
-  slopes soak ci clean hunts scores
+  slopes soak ci clean hunts hunt-booth hunt-booth-grown hunt-large \
+  scores score-booth score-booth-grown score-large score-gutterline-grown
 
 help:  ## List the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -75,8 +76,8 @@
 hunt-large:  ## Hunt 8 days on kswsla-search-large
 	$(HUNT) 8 $(SITES)/large/kswsla-search-large.toml
 
-scores: score-booth score-booth-grown score-large \
-  score-gutterline-grown  ## Quick scores of the regression sites
+scores: score-booth score-booth-grown  ## Quick scores on the regression sites
+scores: score-large score-gutterline-grown
 
 score-booth:  ## Quick score of cvac-booth
 	$(SCORE) $(SITES)/further/cvac-booth.toml
--- a/packages/core/balsamshore_core/forwarding/rumors.py
+++ b/packages/core/balsamshore_core/forwarding/notices.py
@@ -1,9 +1,9 @@
-"""Which nodes are told about requests that crash servers, and when.
+"""Which nodes get notices of requests that crash servers, and when.
 
-Active nodes are told at once, of a stop all nodes. Datagrams may be lost, so
-what a node learned lately it repeats with its heartbeats to random nodes. What
-it learned longer ago it tells to nodes that are new here, and now and then to
-random nodes, because a partition may have ended.
+Active nodes get them at once, all nodes those of a stop. Datagrams may be lost,
+so what a node learned lately it repeats with its heartbeats to random nodes.
+What it learned longer ago it sends to nodes that are new here, and now and then
+to random nodes, because a partition may have ended.
 """
 
 import collections.abc
@@ -23,7 +23,7 @@
     notices: tuple[suspects.Notice, ...]
 
 
-class Rumors:
+class Notices:
     """Decides to whom this node sends its notices."""
 
     def __init__(self, quarantine: quarantines.Quarantine, fleet: fleets.Fleet):
@@ -51,7 +51,7 @@
             now: Monotonic seconds.
         """
         self._heartbeats += 1
-        notices = self._quarantine.list_rumors(now)
+        notices = self._quarantine.list_recent_news(now)
         if not notices and self._heartbeats % HEARTBEATS_PER_REMINDER == 0:
             notices = self._quarantine.list_reminders(now)
         recipients = [
--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -28,14 +28,14 @@
 MIN_UNANSWERED_CRASHES = 2
 MIN_ISOLATING_CRASHES = 2
 MAX_HEDGED_CRASHES = 1  # a request with more is not hedged
-KEPT_CRASHES = 4  # per request; enough to tell repeats of an older report
+KEPT_CRASHES = 4  # per request; enough to know repeats of an older report
 SAME_MOMENT_S = 1.0  # a server takes longer to return and crash again
 STOP_S = 30.0  # until the trial
 FINAL_STOP_S = 86_400.0  # until its repeats have surely ended
 TRIAL_STAGGER_S = 2.0  # between nodes; a crash is known everywhere in less
 MEMORY_S = 86_400.0  # how long a suspect is remembered without news
 CLEARANCE_S = 30.0  # how long a clearance is kept for late reports
-RUMOR_S = 5.0  # how long news are repeated to random nodes
+REPEATED_NEWS_S = 5.0  # how long news are repeated to random nodes
 AGE_ERROR_S = 0.25  # ages grow by the delay of each datagram
 MAX_SUSPECTS = 512
 MAX_ANSWERED = 4_096  # requests that are remembered as answered
@@ -204,7 +204,7 @@
     def apply_notices(
         self, notices: collections.abc.Iterable[suspects.Notice], now: float
     ) -> list[str]:
-        """Applies what another node tells.
+        """Applies what another node sends.
 
         Returns:
             The requests about which this node learned something.
@@ -216,7 +216,7 @@
         return changed
 
     def take_news(self, now: float) -> tuple[list[suspects.Notice], bool]:
-        """Returns news that other nodes have not been told by this one.
+        """Returns news that this node has not sent to others.
 
         Returns:
             At most MAX_NOTICES notices; the others follow at the next call.
@@ -234,17 +234,18 @@
             notices.append(_build_notice(fingerprint, suspect, now))
         return notices, urgent
 
-    def list_rumors(self, now: float) -> list[suspects.Notice]:
+    def list_recent_news(self, now: float) -> list[suspects.Notice]:
         """Lists what this node learned lately, to repeat to random nodes."""
         recent = [
             fingerprint
             for fingerprint, suspect in self._suspects.items()
-            if suspect.known_to_peers and now - suspect.changed_at <= RUMOR_S
+            if suspect.known_to_peers
+            and now - suspect.changed_at <= REPEATED_NEWS_S
         ]
         return self._build_notices(recent[-MAX_NOTICES:], now)
 
     def list_reminders(self, now: float) -> list[suspects.Notice]:
-        """Lists requests to tell nodes that may not know them.
+        """Lists requests for nodes that may not know them.
 
         Stopped requests come first, others of them at each call; then the
         newest suspects.
--- a/packages/core/balsamshore_core/forwarding/suspects.py
+++ b/packages/core/balsamshore_core/forwarding/suspects.py
@@ -21,7 +21,7 @@
 
 
 class Notice(NamedTuple):
-    """What a node tells others about one request.
+    """What a node sends to others about one request.
 
     Attributes:
         fingerprint: Fingerprint of the request.
@@ -60,7 +60,7 @@
         stopped_until: End of the last stop.
         cleared_at: When a server last answered it.
         changed_at: When this node last learned something about it.
-        known_to_peers: Whether other nodes were told, or told this one.
+        known_to_peers: Whether other nodes sent it, or were sent it.
         servers: Incarnations that crashed under it, as this node saw itself.
         reported: Whether another node reported a crash under it.
     """
--- a/packages/node/balsamshore_node/forwarding/reports.py
+++ b/packages/node/balsamshore_node/forwarding/reports.py
@@ -9,7 +9,7 @@
 from balsamshore_core.forwarding import catalog as catalogs
 from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import fleet as fleets
-from balsamshore_core.forwarding import rumors
+from balsamshore_core.forwarding import notices
 from balsamshore_node.forwarding import gossip
 
 MAX_SERVER_REPORTS = 30  # in a datagram, about 1.3 KB
@@ -51,7 +51,7 @@
         self._catalog = catalog
         self._gossip = gossip_socket
         self._read_clock = read_clock
-        self._rumors = rumors.Rumors(board.quarantine, fleet)
+        self._notices = notices.Notices(board.quarantine, fleet)
 
     def greet(
         self,
@@ -60,7 +60,7 @@
         now: float,
     ) -> None:
         """Sends notices and departures to a sender that is new here."""
-        self._send_notices(self._rumors.greet(peer_host, records, now))
+        self._send_notices(self._notices.greet(peer_host, records, now))
         if records and self._fleet.is_new_process(records[0]):
             self._send_departures([peer_host], self._board.list_departures(now))
 
@@ -68,7 +68,7 @@
         self, messages: list[fleets.GossipMessage], now: float
     ) -> None:
         """Sends notices again, to the recipients of heartbeats."""
-        self._send_notices(self._rumors.repeat(messages, now))
+        self._send_notices(self._notices.repeat(messages, now))
 
     def send_server_reports(self, now: float) -> None:
         """Sends what was seen of servers to the active nodes."""
@@ -101,7 +101,7 @@
 
     def spread_quarantine(self) -> None:
         """Sends under which requests servers crashed; logs the decisions."""
-        self._send_notices(self._rumors.spread(self._read_clock()))
+        self._send_notices(self._notices.spread(self._read_clock()))
         for decision in self._board.quarantine.take_decisions():
             loguru.logger.bind(
                 event='quarantine', **decision._asdict()
@@ -119,7 +119,7 @@
             ).info(STATEMENTS[note.what])
 
     def _send_notices(
-        self, messages: collections.abc.Iterable[rumors.NoticeMessage]
+        self, messages: collections.abc.Iterable[notices.NoticeMessage]
     ) -> None:
         for message in messages:
             payload = gossip.Payload(
--- a/tests/forwarding/test_late_runs.py
+++ b/tests/forwarding/test_late_runs.py
@@ -8,7 +8,7 @@
 
 import pytest
 from forwarding import test_fleet
-from forwarding import test_rumors
+from forwarding import test_notices
 
 from balsamshore_core.forwarding import fleet as fleets
 from balsamshore_core.forwarding import quarantine as quarantines
@@ -21,7 +21,7 @@
 DAY_S = 86_400.0
 
 
-class Day(test_rumors.Fleet):
+class Day(test_notices.Fleet):
     """A fleet and one request that crashes each server that runs it.
 
     Attributes:
--- a/tests/forwarding/test_rumors.py
+++ b/tests/forwarding/test_notices.py
@@ -3,8 +3,8 @@
 import pytest
 from forwarding import test_fleet
 
+from balsamshore_core.forwarding import notices
 from balsamshore_core.forwarding import quarantine as quarantines
-from balsamshore_core.forwarding import rumors
 from balsamshore_node.forwarding import gossip
 
 STABLE_WINDOW_S = 4.0  # of the first sites; the grown ones have 5 s
@@ -20,17 +20,17 @@
 
     def add(self, number, domain, seeds):
         node = super().add(number, domain, seeds)
-        node.rumors = rumors.Rumors(node.board.quarantine, node.fleet)
+        node.notices = notices.Notices(node.board.quarantine, node.fleet)
         return node
 
     def step(self, node):
         self.update_record(node)
-        self.notify(node, node.rumors.spread(self.now))
+        self.notify(node, node.notices.spread(self.now))
         if round(self.now / test_fleet.STEP_S) % 5 == 0:
             messages = node.fleet.tick(self.now)
             for message in messages:
                 self.send(node, message)
-            self.notify(node, node.rumors.repeat(messages, self.now))
+            self.notify(node, node.notices.repeat(messages, self.now))
         self.follow(node)
 
     def send(self, node, message, items=(), since=0):
@@ -40,7 +40,7 @@
             if other is not None and other.alive and pair not in self.cut:
                 name = node.fleet.own_record.name
                 self.notify(
-                    other, other.rumors.greet(name, message.records, self.now)
+                    other, other.notices.greet(name, message.records, self.now)
                 )
         super().send(node, message, items, since)
 
@@ -97,7 +97,7 @@
     alone = 'n05'
     fleet.cut = {frozenset((alone, name)) for name in fleet.nodes}
     fleet.crash(fleet.nodes['n00'], 'f')
-    fleet.run(quarantines.RUMOR_S + 3.0)
+    fleet.run(quarantines.REPEATED_NEWS_S + 3.0)
     quarantine = fleet.nodes[alone].board.quarantine
     assert quarantine.find_stop_end('f', fleet.now) is None
     fleet.cut.clear()
@@ -108,7 +108,7 @@
     fleet = Fleet(nodes=8)
     fleet.run(4.0)
     fleet.crash(fleet.nodes['n00'], 'f')
-    fleet.run(quarantines.RUMOR_S + 3.0)
+    fleet.run(quarantines.REPEATED_NEWS_S + 3.0)
     node = fleet.add(3, 'a', ('n00', 'n01'))
     node.fleet.own_record = node.fleet.own_record._replace(incarnation=9999)
     fleet.send(node, node.fleet.announce(fleet.now))
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -401,7 +401,7 @@
         node = cluster.nodes[step % 3]
         route = worlds.make_route('/n/', service='s0', idempotent=False)
         node.ask(route, fingerprint=POISON)
-        cluster.run(quarantines.RUMOR_S + 1.0)
+        cluster.run(quarantines.REPEATED_NEWS_S + 1.0)
         for number in range(3):
             teller = cluster.nodes[(number + 1) % 3].board.quarantine
             notices = teller.list_reminders(cluster.now)
@@ -463,7 +463,9 @@
         quarantine.record_check(f's{number}', 1, True, number)
         notices, _ = quarantine.take_news(number)
         assert len(notices) <= quarantines.MAX_NOTICES
-        assert len(quarantine.list_rumors(number)) <= quarantines.MAX_NOTICES
+        assert (
+            len(quarantine.list_recent_news(number)) <= quarantines.MAX_NOTICES
+        )
     assert quarantine.count(5_000)[0] <= 1_000
 
 
