Let answers leave by the distance of their callers

Cause: an answer that waits for parts left 8 ms before its objective whoever asked. On the large site the kernel measures round trips of 6.4 and 8.8 ms to callers (2.2 and 3.8 on the first sites), and most requests at the start open their connection first: such answers arrive late by some milliseconds.

A margin is now 5 ms, the connection's round trip, and one more if it was opened for the request; bounded, 8 ms as before where nothing is measured; the margin before the deadline is no smaller. Ready answers leave at once.

Left: slow links for large answers; our own interface.

--- a/packages/core/balsamshore_core/forwarding/delays.py
+++ b/packages/core/balsamshore_core/forwarding/delays.py
@@ -8,7 +8,7 @@
 MIN_HEDGE_S = 0.004  # below this, a wake-up costs more than it saves
 MIN_SAMPLES = 20  # with fewer, the hedge delay is derived from the objective
 DEFAULT_HEDGE_SHARE = 0.3  # of the objective, with too few samples
-ANSWER_MARGIN_S = 0.008  # before the objective: two network hops and a wake-up
+ANSWER_MARGIN_S = 0.008  # before the objective, for most callers; see `margins`
 
 
 class Delays:
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -19,6 +19,7 @@
 from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import endings
 from balsamshore_core.forwarding import isolation
+from balsamshore_core.forwarding import margins
 from balsamshore_core.forwarding import observations
 from balsamshore_core.forwarding import rates
 from balsamshore_core.forwarding import refusals
@@ -30,7 +31,7 @@
 from balsamshore_core.forwarding import timers
 from balsamshore_core.forwarding import waitqueues
 
-DEADLINE_MARGIN_S = 0.02  # time for the answer to reach the caller
+DEADLINE_MARGIN_S = 0.02  # at least, for the answer to reach the caller
 MAX_SERVER_PAUSE_S = 0.25  # a server that is silent for longer is slow
 
 
@@ -82,6 +83,7 @@
         deadline_s: float,
         now: float,
         fingerprint: str = '',
+        distance: margins.Distance = margins.TYPICAL,
     ) -> boards.Actions:
         """Starts an exchange.
 
@@ -92,18 +94,21 @@
             now: Monotonic seconds.
             fingerprint: What repeats of the request have in common; without
                 one it is never quarantined.
+            distance: How far away the caller is.
         """
         services = route.shards
         if not services:
             services = (self._board.splitter.choose(route),)
         allowed_s = min(deadline_s, route.timeout_s)
+        objective_s = min(route.objective_s, allowed_s)
+        margin_s = margins.find_margin(distance, objective_s)
         exchange = boards.Exchange(
             exchange_id,
             route,
             services,
             now,
-            now + max(0.0, allowed_s - DEADLINE_MARGIN_S),
-            now + min(route.objective_s, allowed_s) - delays.ANSWER_MARGIN_S,
+            now + max(0.0, allowed_s - max(DEADLINE_MARGIN_S, margin_s)),
+            now + objective_s - margin_s,
             fingerprint,
         )
         self._state.exchanges[exchange_id] = exchange
--- a/packages/node/balsamshore_node/forwarding/callers.py
+++ b/packages/node/balsamshore_node/forwarding/callers.py
@@ -7,6 +7,7 @@
 import typing
 from typing import Protocol
 
+from balsamshore_core.forwarding import margins
 from balsamshore_core.forwarding import routes
 from balsamshore_node.forwarding import messages
 from balsamshore_node.forwarding import sockets
@@ -16,6 +17,9 @@
 PAUSE_THRESHOLD_REQUESTS = 8
 CLOSE_DELAY_S = 0.5  # lets the caller read the response to an invalid request
 FIRST_REQUEST_S = 0.5  # a new connection's first request takes at most this
+# A connection was opened for its first request if that comes within a round
+# trip and this time.
+CONNECTING_S = 0.002
 
 
 class Handler(Protocol):
@@ -60,6 +64,7 @@
         closing: Whether the connection closes after the current request.
         exchange_id: The exchange of the current request, or 0.
         caller: Address of the caller, without the port.
+        distance: How far away the caller is, for the current request.
     """
 
     __slots__ = (
@@ -73,6 +78,7 @@
         'busy',
         'caller',
         'closing',
+        'distance',
         'exchange_id',
         'listener',
         'transport',
@@ -94,6 +100,7 @@
         self.closing = False
         self.exchange_id = 0
         self.caller = ''
+        self.distance = margins.TYPICAL
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the idle timer; see `asyncio`."""
@@ -183,6 +190,7 @@
                 self.transport.resume_reading()
             self._stop_timer()
             self.busy = True
+            self.distance = self._measure_distance()
             self._opened_at = None
             if not raw.keep_alive:
                 self.closing = True
@@ -191,6 +199,19 @@
             self._handler.record_rejection(self, reader.error_status)
             self._reject(reader.error_status)
 
+    def _measure_distance(self) -> margins.Distance:
+        round_trip_s = sockets.read_round_trip(
+            self.transport.get_extra_info('socket') if self.transport else None
+        )
+        if round_trip_s is None:
+            return margins.TYPICAL
+        if self._opened_at is None:
+            return margins.Distance(round_trip_s)
+        age_s = asyncio.get_running_loop().time() - self._opened_at
+        return margins.Distance(
+            round_trip_s, age_s < round_trip_s + CONNECTING_S
+        )
+
     def _reject(self, status: int) -> None:
         self._write(encode_response(status, closing=True))
         self.closing = True
--- a/packages/node/balsamshore_node/forwarding/pending.py
+++ b/packages/node/balsamshore_node/forwarding/pending.py
@@ -153,6 +153,7 @@
                 request.deadline_s or route.timeout_s,
                 now,
                 fingerprint,
+                connection.distance,
             )
         )
 
@@ -240,6 +241,10 @@
             reason=answer.reason,
             missing=answer.missing,
             took_ms=round(took_s * 1000, 1),
+            round_trip_ms=round(
+                pending.connection.distance.round_trip_s * 1000, 1
+            ),
+            connecting=pending.connection.distance.connecting,
             retry_after_s=answer.retry_after_s,
             steps=answer.steps[:40],
         ).info('answered')
--- a/packages/node/balsamshore_node/forwarding/sockets.py
+++ b/packages/node/balsamshore_node/forwarding/sockets.py
@@ -10,6 +10,7 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+TCP_INFO_FORMAT = '8B16I'  # up to the round trip, see tcp(7)
 BACKLOG = 512  # connections; all callers reconnect at once after a power loss
 
 OPTIONS = (
@@ -67,6 +68,24 @@
     return bool(struct.unpack('i', count)[0])
 
 
+def read_round_trip(sock: socket.socket | None) -> float | None:
+    """Returns a connection's smoothed round trip in seconds, if known."""
+    if sock is None:
+        return None
+    try:
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_INFO,
+            struct.calcsize(TCP_INFO_FORMAT),
+        )
+    except OSError:
+        return None
+    if len(info) < struct.calcsize(TCP_INFO_FORMAT):
+        return None
+    round_trip_us = struct.unpack(TCP_INFO_FORMAT, info)[-1]
+    return round_trip_us / 1e6 if round_trip_us else None
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Splits `host:port`."""
     host, port = address.rsplit(':', 1)
--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -21,9 +21,17 @@
 
 
 class Handler:
-    """Answers each request at once."""
+    """Answers each request at once.
+
+    Attributes:
+        distances: How far away the caller of each request was.
+    """
+
+    def __init__(self):
+        self.distances = []
 
     def handle_request(self, connection, raw):
+        self.distances.append(connection.distance)
         connection.send_answer(callers.encode_response(200), False)
 
     def handle_disconnect(self, connection):
@@ -35,7 +43,9 @@
 
 @pytest.fixture
 async def listener():
-    listener = callers.Listener(Handler(), routes.CallerLimits())
+    handler = Handler()
+    listener = callers.Listener(handler, routes.CallerLimits())
+    listener.handler = handler
     listening = sockets.listen('127.0.0.1:0')
     listener.address = listening.getsockname()
     await listener.accept(listening)
@@ -111,3 +121,24 @@
     took_s = asyncio.get_running_loop().time() - began_at
     assert took_s < callers.FIRST_REQUEST_S + 0.5
     assert [await read(sock) for sock in (used, silent)] == [b'', b'']
+
+
+async def test_the_distance_of_a_caller_is_measured(listener):
+    prompt, slow = connect(listener), connect(listener)
+    for sock in (prompt, prompt, slow):
+        sock.setblocking(True)
+        if sock is slow:
+            await asyncio.sleep(0.1)
+        sock.sendall(REQUEST)
+        await read(sock)
+    distances = listener.handler.distances
+    assert [distance.connecting for distance in distances] == [
+        True, False, False,
+    ]  # fmt: skip
+    assert all(0 < distance.round_trip_s < 0.05 for distance in distances)
+
+
+def test_a_socket_without_a_round_trip_has_none():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+        assert sockets.read_round_trip(datagrams) is None
+    assert sockets.read_round_trip(None) is None
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -7,6 +7,7 @@
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import exchanges
+from balsamshore_core.forwarding import margins
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
@@ -111,7 +112,13 @@
         self.servers[server_id] = FakeServer(entry)
         self.board.registry.put(entry, self.now)
 
-    def ask(self, route=None, deadline_s=1.5, fingerprint=''):
+    def ask(
+        self,
+        route=None,
+        deadline_s=1.5,
+        fingerprint='',
+        distance=margins.TYPICAL,
+    ):
         """Sends one request; returns its id."""
         exchange_id = self.next_exchange
         self.next_exchange += 1
@@ -124,6 +131,7 @@
                 deadline_s,
                 self.now,
                 fingerprint,
+                distance,
             )
         )
         return exchange_id
