Know that no server can be reached; refuse and leave address answers

Callers saw: a node that had lost its links to all servers stayed listed and tried server after server until each deadline (504). Cause: each failure was taken for one of its server; that none answers was no fact to the node, and its record said nothing of it. Change: failures without a reply in between raise a doubt, probes of a few servers of several services decide (one refused round, two that time out). A cut-off node ends what it holds, refuses at once with a time to come back, and says so in its record, so that all nodes leave it out of address answers; it is listed again after a probation that grows if its links fail repeatedly. Parts are held while the links are checked.

--- a/packages/core/balsamshore_core/forwarding/actions.py
+++ b/packages/core/balsamshore_core/forwarding/actions.py
@@ -83,6 +83,20 @@
     entry: servers.ServerEntry
 
 
+class Probe(NamedTuple):
+    """Find out whether any of these servers accepts a new connection."""
+
+    entries: tuple[servers.ServerEntry, ...]
+
+
+class CloseIdle(NamedTuple):
+    """Close all idle connections to servers."""
+
+
+class PublishState(NamedTuple):
+    """Tell all nodes the state of this node, which has changed."""
+
+
 class Step(NamedTuple):
     """One decision about a request, kept for the log.
 
@@ -127,4 +141,4 @@
     steps: tuple[Step, ...] = ()
 
 
-Action = Send | Close | Drop | Check | Answer
+Action = Send | Close | Drop | Check | Probe | CloseIdle | PublishState | Answer
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -10,6 +10,7 @@
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import quarantine as quarantines
+from balsamshore_core.forwarding import reachability as reachabilities
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
@@ -240,6 +241,8 @@
             adds them and `exchanges` takes them.
         quarantine: Requests under which servers crashed; `exchanges` reports
             losses and answers, the host exchanges notices with other nodes.
+        reachability: Whether this node reaches servers at all; updated by
+            `exchanges`.
         counters: Numbers of events by name; updated by `catalog`, `exchanges`
             and the host.
     """
@@ -281,6 +284,9 @@
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
+    reachability: reachabilities.Reachability = dataclasses.field(
+        default_factory=reachabilities.Reachability
+    )
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -19,6 +19,7 @@
 from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import endings
 from balsamshore_core.forwarding import isolation
+from balsamshore_core.forwarding import links
 from balsamshore_core.forwarding import margins
 from balsamshore_core.forwarding import observations
 from balsamshore_core.forwarding import rates
@@ -33,6 +34,7 @@
 
 DEADLINE_MARGIN_S = 0.02  # at least, for the answer to reach the caller
 MAX_SERVER_PAUSE_S = 0.25  # a server that is silent for longer is slow
+TIMERS_OF_NODE = frozenset(('rate', 'reopening', 'doubt', 'probe'))
 
 
 class Exchanges:
@@ -50,6 +52,7 @@
         self._wait_queues = waitqueues.WaitQueues()
         self._delays = delays.Delays()
         self._isolation = isolation.Isolation(board)
+        self._links = links.Links(board, self._timers)
         self._rates = rates.Rates(board, self._wait_queues, self._timers)
         self._statements = statements.Statements(board, self._timers)
         self._observations = observations.Observations(board, self._delays)
@@ -66,6 +69,7 @@
             self._rates,
             self._statements,
             self._endings,
+            self._links,
         )
         self._repeats = repeats.Repeats(
             board,
@@ -74,6 +78,7 @@
             self._isolation,
             self._sends,
             self._endings,
+            self._links,
         )
 
     def start(
@@ -141,6 +146,8 @@
             return output
         part = attempt.part
         server = attempt.server
+        if self._board.reachability.record_reply(now):
+            self._follow_links(now, output)
         if reply.misdirected:
             for fingerprint in self._isolation.record_end(server.entry, now):
                 self._sends.release(fingerprint, now, output)
@@ -185,6 +192,7 @@
         part = attempt.part
         server_id = attempt.server.entry.server_id
         self._observations.record_loss(attempt.server, written, cause, now)
+        self._links.record_loss(cause, now, output)
         if written:
             check = self._isolation.record_loss(attempt, cause, now)
             if check is not None:
@@ -221,6 +229,28 @@
             self._sends.release(fingerprint, now, output)
         return output
 
+    def handle_probes(
+        self, reached: bool, refused: bool, now: float
+    ) -> boards.Actions:
+        """Handles the result of a round of probes.
+
+        Args:
+            reached: Whether a server accepted a connection.
+            refused: Whether all connections were refused. Otherwise one or
+                more timed out.
+            now: Monotonic seconds.
+        """
+        output: boards.Actions = []
+        if self._links.finish_round(reached, refused, now):
+            self._follow_links(now, output)
+        return output
+
+    def hear_cut(self, now: float) -> boards.Actions:
+        """Handles that another node is cut off from all servers."""
+        output: boards.Actions = []
+        self._links.hear_cut(now, output)
+        return output
+
     def handle_ended_servers(self, now: float) -> boards.Actions:
         """Drops the attempts on servers that have ended.
 
@@ -296,6 +326,8 @@
             'reopening': self._sends.send_waiting,
             'objective': self._handle_objective_timer,
             'deadline': self._handle_deadline_timer,
+            'doubt': self._links.handle_doubt_timer,
+            'probe': self._links.handle_round_timer,
             'linger': self._handle_linger_timer,
         }
         for timer in self._timers.pop_due(now):
@@ -346,6 +378,25 @@
         """Applies another node's reports about draining servers."""
         self._statements.apply_reports(reports, now)
 
+    def _follow_links(self, now: float, output: boards.Actions) -> None:
+        """Acts on a change of what this node believes of its links."""
+        reachable = self._board.reachability
+        self._board.counters[f'links_{reachable.state.value}'] += 1
+        output.append(actions.PublishState())
+        held = self._links.take_held()
+        if not reachable.is_cut_off:
+            for part in held:
+                if part.is_open():
+                    self._sends.dispatch_part(part, 'queued', now, output)
+            return
+        output.append(actions.CloseIdle())
+        for exchange in tuple(self._state.exchanges.values()):
+            # A run that must not be repeated may still be answered.
+            if exchange.route.idempotent or not (
+                exchange.running or exchange.may_have_run
+            ):
+                self._endings.finish(exchange, 'cut_off', now, output)
+
     def _evaluate_reply(
         self,
         attempt: boards.Attempt,
@@ -404,7 +455,7 @@
 
     def _is_timer_relevant(self, timer: timers.Timer) -> bool:
         """Returns whether the attempt or exchange of a timer still exists."""
-        if timer.kind in ('rate', 'reopening'):
+        if timer.kind in TIMERS_OF_NODE:
             return True  # for whatever waits then
         is_for_attempt = timer.kind in ('hedge', 'linger')
         state = self._state
--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -44,7 +44,8 @@
         host: Host at which other nodes reach it.
         incarnation: Start of the process, Unix ms.
         heartbeat: Counter that grows in each heartbeat interval.
-        state: `joining`, `serving` or `leaving`.
+        state: `joining`, `serving`, `cut_off` (it reaches no server, or did not
+            a short time ago) or `leaving`.
         address: Address for callers, `host:port`.
         failure_domain: Failure domain of the node.
         capacity: Processor capacity, in cores.
--- /dev/null
+++ b/packages/core/balsamshore_core/forwarding/links.py
@@ -0,0 +1,104 @@
+"""What follows for requests when this node doubts, loses and regains its links.
+
+While the links are checked, parts are held: what is sent then may reach nobody.
+A node that is cut off ends its requests at once, and so what arrives later; see
+`reachability` for how it knows.
+"""
+
+from balsamshore_core.forwarding import actions
+from balsamshore_core.forwarding import board as boards
+from balsamshore_core.forwarding import reachability
+from balsamshore_core.forwarding import timers
+
+# Ways for a connection to end that leave no sign of its server.
+SILENT_CAUSES = frozenset(('unreachable', 'reset', 'closed'))
+
+
+class Links:
+    """Checks the links to servers and holds parts meanwhile."""
+
+    def __init__(self, board: boards.Board, link_timers: timers.Timers):
+        self._board = board
+        self._timers = link_timers
+        self._reachability = board.reachability
+        self._held: list[boards.Part] = []
+        self._next_round_at = 0.0
+
+    def record_loss(
+        self, cause: str, now: float, output: boards.Actions
+    ) -> None:
+        """Records an attempt whose connection was lost."""
+        if cause in SILENT_CAUSES:
+            self._reachability.record_failure()
+            self._doubt(now, False, output)
+
+    def record_late_reply(self, now: float, output: boards.Actions) -> None:
+        """Records an attempt that has no reply in its usual time."""
+        self._reachability.record_failure()
+        self._doubt(now, True, output)
+
+    def handle_doubt_timer(
+        self, _key: str, now: float, output: boards.Actions
+    ) -> None:
+        """Looks again whether there is a reply since the late ones."""
+        self._doubt(now, True, output)
+
+    def hear_cut(self, now: float, output: boards.Actions) -> None:
+        """Checks the links after another node has lost its own."""
+        if self._board.registry.by_service and self._reachability.hear_cut(now):
+            self._probe(now, output)
+
+    def handle_round_timer(
+        self, _key: str, now: float, output: boards.Actions
+    ) -> None:
+        """Starts the next round of probes."""
+        next_at = self._reachability.find_next_round(now)
+        if next_at is not None and now >= self._next_round_at:
+            self._probe(now, output)
+
+    def finish_round(self, reached: bool, refused: bool, now: float) -> bool:
+        """Records a round of probes; returns whether the state changed."""
+        changed = self._reachability.finish_round(reached, refused, now)
+        next_at = self._reachability.find_next_round(now)
+        if next_at is not None:
+            self._next_round_at = next_at
+            self._timers.start(next_at, 'probe', '')
+        return changed
+
+    def hold(self, part: boards.Part, now: float) -> bool:
+        """Holds a part while the links are checked; returns whether it is."""
+        if not self._reachability.is_checking:
+            return False
+        part.waiting = True
+        self._held.append(part)
+        part.exchange.record_step(now, 'checking_links', part.service)
+        return True
+
+    def take_held(self) -> list[boards.Part]:
+        """Returns the held parts, which no longer wait here."""
+        parts, self._held = self._held, []
+        for part in parts:
+            part.waiting = False
+        return parts
+
+    def _doubt(self, now: float, silent: bool, output: boards.Actions) -> None:
+        reachable = self._reachability
+        if not self._board.registry.by_service:
+            return
+        if reachable.raise_doubt(now, silent):
+            self._probe(now, output)
+        elif silent and reachable.failures == reachability.MIN_FAILURES:
+            looks_at = reachable.last_reply_at + reachability.QUIET_S
+            if now < looks_at:
+                self._timers.start(looks_at, 'doubt', '')
+
+    def _probe(self, now: float, output: boards.Actions) -> None:
+        self._board.counters['link_checks'] += 1
+        self._reachability.start_round(now)
+        output.append(
+            actions.Probe(
+                reachability.choose_probed(
+                    self._board.registry.by_service, self._board.rng
+                )
+            )
+        )
--- a/packages/core/balsamshore_core/forwarding/placement.py
+++ b/packages/core/balsamshore_core/forwarding/placement.py
@@ -32,7 +32,7 @@
 
     @property
     def state(self) -> str:
-        """`joining`, `serving` or `leaving`."""
+        """`joining`, `serving`, `cut_off` or `leaving`."""
 
     @property
     def address(self) -> str:
--- a/packages/core/balsamshore_core/forwarding/refusals.py
+++ b/packages/core/balsamshore_core/forwarding/refusals.py
@@ -1,8 +1,9 @@
 """Which requests are refused at once, before anything is sent.
 
-A request is refused if it is stopped, because servers crash under it, if too
-few of its parts can reach a server that wants requests, and if its time is
-over or the rate limits of servers make it wait past its deadline.
+A request is refused if it is stopped, because servers crash under it, if this
+node reaches no server, if too few of its parts can reach a server that wants
+requests, and if its time is over or the rate limits of servers make it wait
+past its deadline.
 """
 
 from balsamshore_core.forwarding import answers
@@ -57,6 +58,8 @@
         """
         if self._isolation.is_stopped(exchange, now):
             return 'quarantined'
+        if self._board.reachability.is_cut_off:
+            return 'cut_off'
         reachable = sum(
             bool(self._board.list_usable(part.service, now))
             for part in exchange.parts
--- a/packages/core/balsamshore_core/forwarding/repeats.py
+++ b/packages/core/balsamshore_core/forwarding/repeats.py
@@ -10,6 +10,7 @@
 from balsamshore_core.forwarding import delays
 from balsamshore_core.forwarding import endings
 from balsamshore_core.forwarding import isolation
+from balsamshore_core.forwarding import links
 from balsamshore_core.forwarding import sends
 from balsamshore_core.forwarding import timers
 
@@ -27,6 +28,7 @@
         suspects_isolation: isolation.Isolation,
         part_sends: sends.Sends,
         request_endings: endings.Endings,
+        server_links: links.Links,
     ):
         self._board = board
         self._state = board.exchanges
@@ -35,6 +37,7 @@
         self._isolation = suspects_isolation
         self._sends = part_sends
         self._endings = request_endings
+        self._links = server_links
 
     def retry_part(
         self,
@@ -77,6 +80,7 @@
         if not attempt.overdue:
             attempt.overdue = True
             attempt.server.overdue += 1
+            self._links.record_late_reply(now, output)
         part = attempt.part
         route = part.exchange.route
         if attempt.abandoned or not route.idempotent or not part.is_open():
--- a/packages/core/balsamshore_core/forwarding/sends.py
+++ b/packages/core/balsamshore_core/forwarding/sends.py
@@ -10,6 +10,7 @@
 from balsamshore_core.forwarding import delays
 from balsamshore_core.forwarding import endings
 from balsamshore_core.forwarding import isolation
+from balsamshore_core.forwarding import links
 from balsamshore_core.forwarding import rates
 from balsamshore_core.forwarding import servers
 from balsamshore_core.forwarding import statements
@@ -33,6 +34,7 @@
         server_rates: rates.Rates,
         server_statements: statements.Statements,
         request_endings: endings.Endings,
+        server_links: links.Links,
     ):
         self._board = board
         self._state = board.exchanges
@@ -43,16 +45,18 @@
         self._rates = server_rates
         self._statements = server_statements
         self._endings = request_endings
+        self._links = server_links
 
     def dispatch_part(
         self, part: boards.Part, kind: str, now: float, output: boards.Actions
     ) -> bool:
         """Sends a part to the best server.
 
-        If its service has no servers or the request is quarantined, the part
-        fails unless an attempt is live. If each server was tried or is at the
-        connection limit, or the request may only run alone, the part waits, or
-        is not hedged.
+        The part fails, unless an attempt is live, if its service has no
+        servers, this node is cut off from all or the request is quarantined. It
+        waits, or is not hedged, if each server was tried or is at the
+        connection limit, while the links are checked, and if the request may
+        only run alone.
 
         Returns:
             Whether the part was sent.
@@ -61,7 +65,15 @@
             if not part.live:
                 self._endings.fail_part(part, 'quarantined', now, output)
             return False
-        if kind != 'hedge' and self._isolation.hold(part, now):
+        if self._board.reachability.is_cut_off:
+            if not part.live:
+                self._endings.fail_part(part, 'cut_off', now, output)
+            return False
+        if kind == 'hedge' and self._board.reachability.is_checking:
+            return False
+        if kind != 'hedge' and (
+            self._links.hold(part, now) or self._isolation.hold(part, now)
+        ):
             return False
         candidates = self._board.list_usable(part.service, now)
         if not candidates:
@@ -96,7 +108,7 @@
             if self._isolation.is_stopped(part.exchange, now):
                 self._endings.fail_part(part, 'quarantined', now, output)
                 return True
-            if self._isolation.hold(part, now):
+            if self._links.hold(part, now) or self._isolation.hold(part, now):
                 return True
             server = self._choose_server(part, now)
             if server is None:
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -140,6 +140,7 @@
             self.now,
             self._describe_view,
             self._reports.spread_quarantine,
+            self._update_record,
         )
         self._updates = updates.Updates(
             settings.host,
@@ -228,6 +229,8 @@
         )
         for message in responses:
             self._updates.send_message(message)
+        if any(record.state == 'cut_off' for record in payload.records[:1]):
+            self._requests.perform(self.exchanges.hear_cut(now))
         self.exchanges.apply_slowness_reports(payload.slowness_reports, now)
         self.exchanges.apply_rate_reports(payload.rate_reports, now)
         self.exchanges.apply_departure_reports(payload.departure_reports, now)
@@ -266,7 +269,8 @@
     def _update_record(self) -> None:
         state = 'joining'
         if self.board.table is not None:
-            state = 'serving'
+            reachable = self.board.reachability.is_listed
+            state = 'serving' if reachable else 'cut_off'
         if self._shutdown_started_at is not None:
             state = 'leaving'
         own_record = self.fleet.own_record
--- a/packages/node/balsamshore_node/forwarding/pending.py
+++ b/packages/node/balsamshore_node/forwarding/pending.py
@@ -58,6 +58,7 @@
         read_clock: collections.abc.Callable[[], float],
         describe_view: collections.abc.Callable[[], dict[str, float]],
         spread_quarantine: collections.abc.Callable[[], None],
+        publish_state: collections.abc.Callable[[], None],
     ):
         """Creates the state without opening sockets.
 
@@ -71,6 +72,7 @@
                 an answer follows.
             spread_quarantine: Sends to other nodes under which requests servers
                 crashed.
+            publish_state: Sends this node's state to other nodes.
         """
         self.board = board
         self.closing = False
@@ -80,6 +82,7 @@
         self._metrics = metrics
         self._describe_view = describe_view
         self._spread_quarantine = spread_quarantine
+        self._publish_state = publish_state
         self._pending: dict[int, PendingRequest] = {}
         self._next_exchange_id = 1
         self._answer_count = 0
@@ -103,6 +106,7 @@
             self._handle_reply,
             self._handle_loss,
             self._handle_check,
+            self._handle_probes,
             source_address,
         )
         self._performers: dict[type, collections.abc.Callable] = {
@@ -110,6 +114,9 @@
             actions.Close: lambda action: self.pool.close(action.attempt_id),
             actions.Drop: lambda action: self.pool.lose(*action),
             actions.Check: lambda action: self.pool.check(action.entry),
+            actions.Probe: lambda action: self.pool.probe(action.entries),
+            actions.CloseIdle: lambda _: self.pool.close_idle(),
+            actions.PublishState: lambda _: self._publish_state(),
             actions.Answer: self._send_answer,
         }
 
@@ -276,6 +283,11 @@
             self._exchanges.handle_loss(attempt_id, written, cause, self.now())
         )
 
+    def _handle_probes(self, reached: bool, refused: bool) -> None:
+        self.perform(
+            self._exchanges.handle_probes(reached, refused, self.now())
+        )
+
     def _handle_check(self, entry: servers.ServerEntry, crashed: bool) -> None:
         self.perform(
             self._exchanges.handle_check(
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import errno
 import typing
 
 import loguru
@@ -22,6 +23,7 @@
 DEFAULT_KEEP_ALIVE_S = 4.0  # for servers that send no idle timeout
 RESET_ROUND_TRIPS = 1.2  # from connecting until a full server's reset arrives
 RESET_DELAY_S = 0.0005  # the server's time to accept and reset a connection
+PROBE_TIMEOUT_S = 0.25  # for any of a few servers to accept a connection
 CHECK_TIMEOUT_S = 0.05  # without an answer, nothing shows that a server crashed
 MAX_RESET_WAIT_S = 0.01  # longer would make an urgent request miss its target
 SWEEP_INTERVAL_S = 1.0  # between checks for connections idle too long
@@ -31,6 +33,7 @@
 OnReply = collections.abc.Callable[[int, actions.Reply], None]
 OnLoss = collections.abc.Callable[[int, bool, str], None]
 OnCheck = collections.abc.Callable[[servers.ServerEntry, bool], None]
+OnProbes = collections.abc.Callable[[bool, bool], None]
 
 
 class Connection(asyncio.Protocol):
@@ -179,6 +182,7 @@
         on_reply: OnReply,
         on_loss: OnLoss,
         on_check: OnCheck,
+        on_probes: OnProbes,
         source_address: str = '',
     ):
         self.dialect = dialect
@@ -188,6 +192,7 @@
         self._on_reply = on_reply
         self._on_loss = on_loss
         self._on_check = on_check
+        self._on_probes = on_probes
         self._source = (source_address, 0) if source_address else None
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._busy: dict[int, Connection] = {}
@@ -216,6 +221,19 @@
         """Reports whether a server refuses a new connection."""
         self._start(self._check(entry))
 
+    def probe(
+        self, entries: collections.abc.Iterable[servers.ServerEntry]
+    ) -> None:
+        """Reports whether any server accepts a new connection."""
+        self._start(self._probe(entries))
+
+    def close_idle(self) -> None:
+        """Closes all idle connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.abort()
+        self._idle.clear()
+
     def _start(
         self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
@@ -355,6 +373,41 @@
             )
             connection.send_request(action.attempt_id, request, payload)
 
+    async def _probe(
+        self, entries: collections.abc.Iterable[servers.ServerEntry]
+    ) -> None:
+        pending = {
+            self._loop.create_task(self._open(entry)) for entry in entries
+        }
+        deadline = self._loop.time() + PROBE_TIMEOUT_S
+        reached = False
+        while pending and not reached:
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=max(0.0, deadline - self._loop.time()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            reached = any(task.result() for task in done)
+        for task in pending:
+            task.cancel()
+        self._on_probes(reached, not pending)
+
+    async def _open(self, entry: servers.ServerEntry) -> bool:
+        """Opens and closes a connection; returns whether it was accepted."""
+        host, port = sockets.split_address(entry.address)
+        self.opened += 1
+        try:
+            transport, _ = await self._loop.create_connection(
+                asyncio.Protocol, host, port, local_addr=self._source
+            )
+        except OSError as error:
+            # Without free descriptors nothing shows that links are lost.
+            return error.errno in (errno.EMFILE, errno.ENFILE)
+        transport.abort()
+        return True
+
     async def _check(self, entry: servers.ServerEntry) -> None:
         host, port = sockets.split_address(entry.address)
         self.opened += 1
--- a/tests/adapter/test_cutoffs.py
+++ b/tests/adapter/test_cutoffs.py
@@ -129,7 +129,9 @@
         await load(platform, 1.0)
         listed = await list_addresses(platform, 3)
         assert cut <= set(listed)
-        senders = {a.peer for a in platform.ledger.arrivals if a.at > since}
+        senders = {
+            a.node_host for a in platform.ledger.arrivals if a.at > since
+        }
         assert {f'{platform.network}.2.{index}' for index in (1, 2)} <= senders
 
 
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -167,6 +167,10 @@
                 self.lose(action.attempt_id, True, action.cause)
             elif isinstance(action, actions.Check):
                 self.check(action.entry)
+            elif isinstance(action, actions.Probe):
+                self.probe(action.entries)
+            elif isinstance(action, actions.CloseIdle | actions.PublishState):
+                pass
             else:
                 took = self.now - self.arrived[action.exchange_id]
                 assert action.exchange_id not in self.answers
@@ -181,6 +185,18 @@
         crashed = server.mode == 'unreachable'
         self.at(self.now + 0.002, lambda: self.finish_check(entry, crashed))
 
+    def probe(self, entries):
+        """Reports whether any of the servers accepts a connection."""
+        modes = {self.servers[entry.server_id].mode for entry in entries}
+        reached = bool(modes - {'silent', 'unreachable'})
+        refused = not reached and 'silent' not in modes
+        self.at(
+            self.now + (0.25 if 'silent' in modes and not reached else 0.002),
+            lambda: self.perform(
+                self.exchanges.handle_probes(reached, refused, self.now)
+            ),
+        )
+
     def finish_check(self, entry, crashed):
         self.perform(
             self.exchanges.handle_check(
