Do not take lost links for crashed or slow servers

Cause: a refused connection proved a crash, though it came over the lost links. Change: the check of a server is accompanied by probes of others; it has crashed only if one of these accepts a connection. Silence is no slowness unless some server replied meanwhile; a node that is cut off while others serve drops its evidence and does not hold failures against servers. Servers known to have crashed are not probed first, so servers that all crashed are no lost links.

--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -34,6 +34,7 @@
         'its backend servers want no requests for longer than it may wait'
     ),
     'isolated': 'it was ended: several servers crashed under this request',
+    'cut_off': 'the node reached no backend server at all',
 }
 STEPS = {
     'hedge': 'was late; a hedge was sent to a second server',
@@ -56,6 +57,7 @@
     'alone': 'was sent alone: a server was lost under this request',
     'unreachable': 'could not be sent: the server was unreachable',
     'isolated': 'was ended: several servers crashed under this request',
+    'checking_links': 'waited: the node checked whether it reaches any server',
     'part_failed': 'failed without further attempts',
     'missing': 'had no answer in time',
 }
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -243,6 +243,8 @@
             losses and answers, the host exchanges notices with other nodes.
         reachability: Whether this node reaches servers at all; updated by
             `exchanges`.
+        others_serve: Whether other nodes reach servers; set by the host from
+            `fleet`.
         counters: Numbers of events by name; updated by `catalog`, `exchanges`
             and the host.
     """
@@ -284,6 +286,7 @@
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
+    others_serve: bool = False
     reachability: reachabilities.Reachability = dataclasses.field(
         default_factory=reachabilities.Reachability
     )
--- a/packages/core/balsamshore_core/forwarding/evidence.py
+++ b/packages/core/balsamshore_core/forwarding/evidence.py
@@ -75,6 +75,11 @@
             if not runs:
                 del self._runs[server]
 
+    def clear(self) -> None:
+        """Drops all runs."""
+        self._runs.clear()
+        self._servers.clear()
+
     def end(self, server: Incarnation, now: float) -> dict[str, Run]:
         """Records the end of an incarnation.
 
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -197,6 +197,8 @@
             check = self._isolation.record_loss(attempt, cause, now)
             if check is not None:
                 output.append(check)
+                incarnation = check.entry.incarnation
+                self._links.start_check(incarnation, now, output)
         if not attempt.abandoned:
             exchange = part.exchange
             exchange.record_step(now, cause, part.service, server_id)
@@ -221,12 +223,10 @@
             now: Monotonic seconds.
         """
         output: boards.Actions = []
-        self._board.counters['crashes_confirmed'] += crashed
-        for fingerprint in self._board.quarantine.record_check(
-            server_id, born_ms, crashed, now
-        ):
-            self._repeats.isolate(fingerprint, now, output)
-            self._sends.release(fingerprint, now, output)
+        if self._links.finish_check((server_id, born_ms), crashed):
+            self._finish_check(server_id, born_ms, crashed, now, output)
+        else:
+            self._finish_refusing(False, now, output)
         return output
 
     def handle_probes(
@@ -243,6 +243,7 @@
         output: boards.Actions = []
         if self._links.finish_round(reached, refused, now):
             self._follow_links(now, output)
+        self._finish_refusing(reached, now, output)
         return output
 
     def hear_cut(self, now: float) -> boards.Actions:
@@ -276,6 +277,12 @@
     ) -> boards.Actions:
         """Applies another node's notices about requests that crash servers."""
         output: boards.Actions = []
+        notices = tuple(notices)
+        for notice in notices:
+            for server_id, born_ms, age_s, _ in notice.crashes:
+                self._board.registry.record_crash(
+                    server_id, born_ms, now - age_s
+                )
         for fingerprint in self._board.quarantine.apply_notices(notices, now):
             self._repeats.isolate(fingerprint, now, output)
             self._sends.release(fingerprint, now, output)
@@ -378,6 +385,30 @@
         """Applies another node's reports about draining servers."""
         self._statements.apply_reports(reports, now)
 
+    def _finish_refusing(
+        self, reached: bool, now: float, output: boards.Actions
+    ) -> None:
+        """Ends the checks that only a finished round of probes decides."""
+        for server_id, born_ms in self._links.take_refusing():
+            self._finish_check(server_id, born_ms, reached, now, output)
+
+    def _finish_check(
+        self,
+        server_id: str,
+        born_ms: int,
+        crashed: bool,
+        now: float,
+        output: boards.Actions,
+    ) -> None:
+        self._board.counters['crashes_confirmed'] += crashed
+        if crashed:
+            self._board.registry.record_crash(server_id, born_ms, now)
+        for fingerprint in self._board.quarantine.record_check(
+            server_id, born_ms, crashed, now
+        ):
+            self._repeats.isolate(fingerprint, now, output)
+            self._sends.release(fingerprint, now, output)
+
     def _follow_links(self, now: float, output: boards.Actions) -> None:
         """Acts on a change of what this node believes of its links."""
         reachable = self._board.reachability
@@ -390,6 +421,9 @@
                     self._sends.dispatch_part(part, 'queued', now, output)
             return
         output.append(actions.CloseIdle())
+        if self._board.others_serve:
+            self._isolation.forget_unanswered()
+        self._board.registry.forgive()
         for exchange in tuple(self._state.exchanges.values()):
             # A run that must not be repeated may still be answered.
             if exchange.route.idempotent or not (
@@ -446,9 +480,11 @@
         attempt = self._state.attempts.get(attempt_id)
         if attempt is None:
             return
-        self._observations.record_latency(
-            attempt, now, now - attempt.sent_at > MAX_SERVER_PAUSE_S
-        )
+        # Without any reply meanwhile, this node may have lost its links.
+        if self._board.reachability.last_reply_at > attempt.sent_at:
+            self._observations.record_latency(
+                attempt, now, now - attempt.sent_at > MAX_SERVER_PAUSE_S
+            )
         self._isolation.record_unanswered(attempt, now)
         self._endings.close(attempt, now, output)
         self._sends.continue_waiting(attempt.part, now, output)
--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -99,6 +99,8 @@
         exchange = attempt.part.exchange
         if exchange.covered or exchange.last_reply or not exchange.fingerprint:
             return False
+        if self._board.reachability.is_cut_off and self._board.others_serve:
+            return False
         entry = attempt.server.entry
         run = evidence.Run(attempt.alone, now)
         ended = self._evidence.add(entry.incarnation, exchange.fingerprint, run)
@@ -106,6 +108,10 @@
             self._record_crash(exchange.fingerprint, entry, run, now)
         return ended
 
+    def forget_unanswered(self) -> None:
+        """Drops the runs without an answer: this node lost its links."""
+        self._evidence.clear()
+
     def record_end(self, entry: servers.ServerEntry, now: float) -> list[str]:
         """Records that an incarnation of a server has ended.
 
--- a/packages/core/balsamshore_core/forwarding/links.py
+++ b/packages/core/balsamshore_core/forwarding/links.py
@@ -3,6 +3,10 @@
 While the links are checked, parts are held: what is sent then may reach nobody.
 A node that is cut off ends its requests at once, and so what arrives later; see
 `reachability` for how it knows.
+
+What such a node sees of servers shows nothing about them. So a server that
+refuses a new connection after it lost one counts as crashed only if another
+server accepts one.
 """
 
 from balsamshore_core.forwarding import actions
@@ -14,6 +18,9 @@
 SILENT_CAUSES = frozenset(('unreachable', 'reset', 'closed'))
 
 
+Incarnation = tuple[str, int]  # id and `born_ms` of a server
+
+
 class Links:
     """Checks the links to servers and holds parts meanwhile."""
 
@@ -23,6 +30,8 @@
         self._reachability = board.reachability
         self._held: list[boards.Part] = []
         self._next_round_at = 0.0
+        self._checks: dict[Incarnation, int] = {}
+        self._refusing: list[Incarnation] = []
 
     def record_loss(
         self, cause: str, now: float, output: boards.Actions
@@ -45,7 +54,7 @@
 
     def hear_cut(self, now: float, output: boards.Actions) -> None:
         """Checks the links after another node has lost its own."""
-        if self._board.registry.by_service and self._reachability.hear_cut(now):
+        if self._has_candidates() and self._reachability.hear_cut(now):
             self._probe(now, output)
 
     def handle_round_timer(
@@ -61,10 +70,42 @@
         changed = self._reachability.finish_round(reached, refused, now)
         next_at = self._reachability.find_next_round(now)
         if next_at is not None:
-            self._next_round_at = next_at
-            self._timers.start(next_at, 'probe', '')
+            self._schedule_round(next_at)
         return changed
 
+    def start_check(
+        self,
+        incarnation: Incarnation,
+        now: float,
+        output: boards.Actions,
+    ) -> None:
+        """Probes other servers while one is checked that may have crashed."""
+        if not self._reachability.is_probing:
+            self._probe(now, output)
+        self._checks[incarnation] = self._reachability.rounds
+
+    def finish_check(self, incarnation: Incarnation, crashed: bool) -> bool:
+        """Records whether a server refused a connection.
+
+        Returns:
+            Whether the result is final. Otherwise `take_refusing` returns the
+            server after the round of probes.
+        """
+        checked_round = self._checks.pop(incarnation, 0)
+        if not crashed or not self._has_other_candidates(incarnation):
+            return True
+        if self._reachability.reached_round >= checked_round:
+            return True
+        self._refusing.append(incarnation)
+        return False
+
+    def take_refusing(self) -> list[Incarnation]:
+        """Returns the servers that refused while no probe had succeeded."""
+        if self._reachability.is_probing:
+            return []
+        refusing, self._refusing = self._refusing, []
+        return refusing
+
     def hold(self, part: boards.Part, now: float) -> bool:
         """Holds a part while the links are checked; returns whether it is."""
         if not self._reachability.is_checking:
@@ -83,7 +124,7 @@
 
     def _doubt(self, now: float, silent: bool, output: boards.Actions) -> None:
         reachable = self._reachability
-        if not self._board.registry.by_service:
+        if not self._has_candidates():
             return
         if reachable.raise_doubt(now, silent):
             self._probe(now, output)
@@ -92,13 +133,27 @@
             if now < looks_at:
                 self._timers.start(looks_at, 'doubt', '')
 
+    def _has_candidates(self) -> bool:
+        """Returns whether there are servers not known to have crashed."""
+        return self._has_other_candidates(None)
+
+    def _has_other_candidates(self, incarnation: Incarnation | None) -> bool:
+        return any(
+            not server.crashed and server.entry.incarnation != incarnation
+            for server in self._board.registry.list_servers()
+        )
+
     def _probe(self, now: float, output: boards.Actions) -> None:
-        self._board.counters['link_checks'] += 1
-        self._reachability.start_round(now)
-        output.append(
-            actions.Probe(
-                reachability.choose_probed(
-                    self._board.registry.by_service, self._board.rng
-                )
-            )
+        entries = reachability.choose_probed(
+            self._board.registry.list_servers(), self._board.rng
         )
+        if not entries:
+            self._schedule_round(now + reachability.RECHECK_S)
+            return
+        self._board.counters['link_checks'] += 1
+        self._reachability.start_round()
+        output.append(actions.Probe(entries))
+
+    def _schedule_round(self, at: float) -> None:
+        self._next_round_at = at
+        self._timers.start(at, 'probe', '')
--- a/packages/core/balsamshore_core/forwarding/reachability.py
+++ b/packages/core/balsamshore_core/forwarding/reachability.py
@@ -11,6 +11,7 @@
 lately.
 """
 
+import collections
 import collections.abc
 import enum
 import random
@@ -65,13 +66,18 @@
         state: The present belief.
         failures: Attempts that failed, or are late, since the last reply.
         last_reply_at: When any server last replied, monotonic seconds.
+        is_probing: Whether a round of probes is in progress.
+        rounds: Number of rounds of probes so far.
+        reached_round: The last of them in which a server was reached.
     """
 
     def __init__(self):
         self.state = State.REACHABLE
         self.failures = 0
         self.last_reply_at = float('-inf')
-        self._round_started_at: float | None = None
+        self.is_probing = False
+        self.rounds = 0
+        self.reached_round = 0
         self._checked_at = float('-inf')
         self._timed_out_rounds = 0
         self._cuts: list[float] = []
@@ -130,16 +136,17 @@
         return self._begin_check(now)
 
     def _begin_check(self, now: float) -> bool:
-        if self._round_started_at is not None:
+        if self.is_probing:
             return False
         if self.is_listed and now < self._checked_at + RECHECK_S:
             return False
         self._apply(Event.DOUBT, now)
         return True
 
-    def start_round(self, now: float) -> None:
+    def start_round(self) -> None:
         """Records the start of a round of probes."""
-        self._round_started_at = now
+        self.is_probing = True
+        self.rounds += 1
 
     def finish_round(self, reached: bool, refused: bool, now: float) -> bool:
         """Records the result of a round of probes.
@@ -153,10 +160,11 @@
         Returns:
             Whether the state changed.
         """
-        self._round_started_at = None
+        self.is_probing = False
         self._checked_at = now
         if reached:
             self._timed_out_rounds = 0
+            self.reached_round = self.rounds
             self.failures = 0
             changed = self._apply(Event.REACHED, now)
             if not changed and now >= self._settled_at:
@@ -169,7 +177,7 @@
 
     def find_next_round(self, now: float) -> float | None:
         """Returns when the next round of probes starts, or None for none."""
-        if self.state is State.REACHABLE or self._round_started_at is not None:
+        if self.state is State.REACHABLE or self.is_probing:
             return None
         if self.is_checking:
             return now
@@ -195,26 +203,22 @@
 
 
 def choose_probed(
-    by_service: collections.abc.Mapping[
-        str, collections.abc.Mapping[str, servers.Server]
-    ],
-    rng: random.Random,
+    candidates: collections.abc.Iterable[servers.Server], rng: random.Random
 ) -> tuple[servers.ServerEntry, ...]:
-    """Chooses servers to probe, of different services if possible."""
-    services = rng.sample(sorted(by_service), min(PROBES, len(by_service)))
-    chosen = {
-        server_id: by_service[service][server_id].entry
-        for service in services
-        for server_id in [rng.choice(sorted(by_service[service]))]
-    }
-    others = sorted(
-        server_id
-        for service in services
-        for server_id in by_service[service]
-        if server_id not in chosen
-    )
-    for server_id in rng.sample(others, min(PROBES - len(chosen), len(others))):
-        for service in services:
-            if server_id in by_service[service]:
-                chosen[server_id] = by_service[service][server_id].entry
-    return tuple(chosen.values())
+    """Chooses servers to probe.
+
+    Those known to have crashed come last, and those without failures first:
+    they refuse only if the links are lost. The servers chosen are of different
+    services if possible.
+    """
+    ordered = sorted(candidates, key=lambda server: server.entry.server_id)
+    rng.shuffle(ordered)
+    ranks: collections.Counter[tuple[int, str]] = collections.Counter()
+    ranked = []
+    for server in ordered:
+        failing = server.crashed + (server.failures > 0 or server.overdue > 0)
+        group = (failing, server.entry.service)
+        ranked.append((failing, ranks[group], server.entry))
+        ranks[group] += 1
+    ranked.sort(key=lambda item: item[:2])
+    return tuple(entry for _, _, entry in ranked[:PROBES])
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -89,7 +89,9 @@
         in_flight: Number of attempts that it has not answered yet.
         limit: The rate of requests that it states, or None.
         overdue: Number of these that are overdue.
+        crashed: Whether it is known to have crashed, and has not replied since.
         slowness: Latency relative to the typical latency, at `sampled_at`.
+        replied_at: When the last successful reply was received.
         slow_reply_at: When the last reply was received, if it was slow.
         suspects: Number of attempts in flight that may crash it.
         closed_until: Until when it wants no request from this node.
@@ -100,6 +102,7 @@
     __slots__ = (
         'accepts_connections',
         'closed_until',
+        'crashed',
         'ejected_until',
         'entry',
         'failed_share',
@@ -108,6 +111,7 @@
         'in_flight',
         'limit',
         'overdue',
+        'replied_at',
         'sampled_at',
         'slow_reply_at',
         'slowness',
@@ -120,6 +124,8 @@
         self.in_flight = 0
         self.limit: ratelimits.RateLimit | None = None
         self.overdue = 0
+        self.crashed = False
+        self.replied_at = float('-inf')
         self.suspects = 0
         self.slowness = COLD_SLOWNESS if entry.cold_s > 0 else 1.0
         self.sampled_at = now
@@ -165,6 +171,8 @@
         self.sampled_at = now
         if not conclusive:
             self.accepts_connections = True
+            self.crashed = False
+            self.replied_at = now
             self._record_outcome(0.0, now)
             self.failures = 0
             self.ejected_until = 0.0
@@ -245,6 +253,12 @@
         self._record_outcome(1.0, now)
         self.ejected_until = max(self.ejected_until, now + ejection_s)
 
+    def forgive(self) -> None:
+        """Drops its failures, for which it may not be at fault."""
+        self.failures = 0
+        self.failed_share = 0.0
+        self.ejected_until = 0.0
+
     def record_wait(self, until: float) -> None:
         """Records until when the server wants no request from this node.
 
@@ -302,6 +316,23 @@
             return None
         return self.by_service[service].get(server_id)
 
+    def record_crash(
+        self, server_id: str, born_ms: int, crashed_at: float
+    ) -> None:
+        """Records that an incarnation of a server has crashed."""
+        server = self.find(server_id)
+        if (
+            server is not None
+            and server.entry.born_ms == born_ms
+            and server.replied_at < crashed_at
+        ):
+            server.crashed = True
+
+    def list_servers(self) -> collections.abc.Iterator[Server]:
+        """Lists all usable servers."""
+        for servers in self.by_service.values():
+            yield from servers.values()
+
     def put(self, entry: ServerEntry, now: float) -> None:
         """Adds or updates a server; removes a draining server."""
         server = self.find(entry.server_id)
@@ -330,6 +361,11 @@
             if not self.by_service[service]:
                 del self.by_service[service]
 
+    def forgive(self) -> None:
+        """Drops the failures of all servers: this node lost its links."""
+        for server in self.list_servers():
+            server.forgive()
+
     def _remember(self, server: Server) -> None:
         if server.closed_until:
             incarnation = server.entry.incarnation
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -43,6 +43,7 @@
 TICKS_PER_USAGE_SAMPLE = 10
 TICKS_PER_RELOAD = 20  # settings may change without a signal
 MAX_ACCEPT_DELAY_S = 0.3  # callers wait this long for the first configuration
+MAX_LOGGED_S = 1e6  # stands for never
 MAX_CHANGE_LINES = 8  # more changes at once share one log line
 LEAVING_ACCEPT_S = 3.0  # a leaving node accepts new connections this long
 KILL_MARGIN_S = 0.5  # time to stop before the platform kills a leaving node
@@ -269,8 +270,8 @@
     def _update_record(self) -> None:
         state = 'joining'
         if self.board.table is not None:
-            reachable = self.board.reachability.is_listed
-            state = 'serving' if reachable else 'cut_off'
+            listed = self.board.reachability.is_listed
+            state = 'serving' if listed else 'cut_off'
         if self._shutdown_started_at is not None:
             state = 'leaving'
         own_record = self.fleet.own_record
@@ -284,9 +285,15 @@
             active=self._usage.active,
         )
         if changed:
-            loguru.logger.bind(event='state').info(
-                f'{own_record.state} to {state}'
-            )
+            reachable = self.board.reachability
+            loguru.logger.bind(
+                event='state',
+                links=reachable.state.value,
+                link_checks=reachable.rounds,
+                last_reply_s=round(
+                    min(self.now() - reachable.last_reply_at, MAX_LOGGED_S), 2
+                ),
+            ).info(f'{own_record.state} to {state}')
             self._updates.send_message(self.fleet.announce(self.now()))
 
     async def _run_ticks(self) -> None:
@@ -312,6 +319,10 @@
                 self.fleet.list_active_names(now),
                 self.fleet.may_lack_reports(now),
             )
+            self.board.others_serve = any(
+                record.state == 'serving'
+                for record in self.fleet.list_alive(now)
+            )
             self.board.quarantine.expire(now)
             self._requests.pool.close_expired()
         if ticks % TICKS_PER_SERVER_REPORT == 0:
--- a/packages/node/balsamshore_node/forwarding/pending.py
+++ b/packages/node/balsamshore_node/forwarding/pending.py
@@ -287,6 +287,8 @@
         self.perform(
             self._exchanges.handle_probes(reached, refused, self.now())
         )
+        if reached:
+            self._loop.call_later(NEWS_DELAY_S, self._spread_quarantine)
 
     def _handle_check(self, entry: servers.ServerEntry, crashed: bool) -> None:
         self.perform(
@@ -294,5 +296,3 @@
                 entry.server_id, entry.born_ms, crashed, self.now()
             )
         )
-        if crashed:
-            self._loop.call_later(NEWS_DELAY_S, self._spread_quarantine)
--- a/tests/adapter/test_cutoffs.py
+++ b/tests/adapter/test_cutoffs.py
@@ -106,6 +106,7 @@
         others = find_served_share([t for t in tries if t.index not in cut])
         assert others > 0.95
         assert served >= MIN_SERVED_SHARE * others
+        assert not list_stops(platform)
 
 
 @pytest.mark.parametrize('manner', ['silent', 'reset'])
--- a/tests/adapter/test_upstream.py
+++ b/tests/adapter/test_upstream.py
@@ -88,6 +88,7 @@
         lambda attempt, reply: results.append((attempt, reply.status)),
         lambda attempt, written, cause: results.append((attempt, cause)),
         lambda entry, crashed: None,
+        lambda reached, refused: None,
     )
     for attempt, request_id in enumerate(request_ids, 1):
         pool.send(
--- a/tests/forwarding/test_reachability.py
+++ b/tests/forwarding/test_reachability.py
@@ -146,8 +146,106 @@
                 ),
                 0.0,
             )  # fmt: skip
-    probed = reachability.choose_probed(registry.by_service, random.Random(1))
+    probed = reachability.choose_probed(
+        registry.list_servers(), random.Random(1)
+    )
     assert len(set(probed)) == reachability.PROBES
     assert len({each.service for each in probed}) == min(
         services, reachability.PROBES
     )
+
+
+def reset_links(world):
+    """Refuses new connections and resets those in use."""
+    cut(world, 'unreachable')
+    for attempt in tuple(world.attempts):
+        world.lose(attempt, True, 'reset')
+
+
+def ask_for_long(world, name):
+    for server in world.servers.values():
+        server.work_s = 0.3
+    return world.ask(world.scattered, fingerprint=name)
+
+
+def list_crashes(world):
+    return [
+        decision
+        for decision in world.board.quarantine.take_decisions()
+        if decision.what == 'crash'
+    ]
+
+
+def test_servers_behind_lost_links_have_not_crashed_under_requests():
+    world = worlds.World(10)
+    world.warm_up()
+    for number in range(5):
+        ask_for_long(world, f'f{number}')
+        world.run(0.02)
+        reset_links(world)
+        world.run(1.0)
+        assert world.board.reachability.is_cut_off
+        cut(world, 'ok')
+        world.run(3.0)
+    assert not list_crashes(world)
+    assert world.board.quarantine.count(world.now) == (0, 0)
+
+
+def test_a_server_that_crashes_while_others_are_reached_has_crashed():
+    world = worlds.World(10)
+    world.warm_up()
+    ask_for_long(world, 'f')
+    world.run(0.02)
+    attempt, server = next(iter(world.attempts.items()))
+    server.mode = 'unreachable'
+    world.lose(attempt, True, 'closed')
+    world.run(0.1)
+    assert len(list_crashes(world)) == 1
+
+
+def test_servers_that_end_behind_lost_links_have_not_crashed_under_requests():
+    world = worlds.World()
+    world.warm_up()
+    world.board.others_serve = True
+    ask_for_long(world, 'f')
+    world.run(0.02)
+    cut(world, 'silent')
+    world.attempts.clear()  # their replies are lost
+    load(world, 2.0)
+    assert world.board.reachability.is_cut_off
+    for server in world.servers.values():
+        ended = servers.EndedServer(server.entry, True)
+        world.board.ended_servers.append(ended)
+    world.perform(world.exchanges.handle_ended_servers(world.now))
+    assert not list_crashes(world)
+
+
+def test_servers_behind_lost_links_are_not_reported_as_slow():
+    world = worlds.World(10)
+    world.warm_up()
+    world.board.slowness_reports.clear()
+    cut(world, 'silent')
+    load(world, 3.0)
+    assert not world.board.slowness_reports
+
+
+def test_failures_behind_lost_links_are_not_held_against_servers():
+    world = worlds.World()
+    world.warm_up()
+    cut(world, 'unreachable')
+    load(world, 2.0)
+    for server in world.board.registry.list_servers():
+        assert (server.failures, server.failed_share) == (0, 0.0)
+        assert server.ejected_until == 0.0
+
+
+def test_probes_avoid_servers_that_may_have_crashed():
+    world = worlds.World(3)
+    listed = list(world.board.registry.list_servers())
+    for server in listed[:7]:
+        server.record_failure(world.now)
+    for seed in range(20):
+        probed = reachability.choose_probed(listed, random.Random(seed))
+        assert {each.server_id for each in probed} >= {
+            server.entry.server_id for server in listed[7:]
+        }
