Pass requests on to a node that reaches servers while this one does not

Weighed: refusing at once costs each of these callers a try and counts as failed at that node; passing on costs one connection between nodes and 2 to 4 ms. Change: a cut-off node passes a request on, whole, once and with the time that is left, to the less loaded of two of the nodes that carry traffic. It is decided there as any caller's request, so budgets, limits and the quarantine count once. Never on from there; refused ones go to one more node; a connection that breaks off is an unknown outcome and not repeated. What had begun here is passed on only within the retry budget, and never if it must not be repeated.

--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -35,6 +35,9 @@
     ),
     'isolated': 'it was ended: several servers crashed under this request',
     'cut_off': 'the node reached no backend server at all',
+    'relayed': 'another node answered it; this one reached no backend server',
+    'relay_refused': 'another node refused it after it may have run',
+    'relay_lost': 'the connection to another node broke off',
 }
 STEPS = {
     'hedge': 'was late; a hedge was sent to a second server',
@@ -57,6 +60,7 @@
     'alone': 'was sent alone: a server was lost under this request',
     'unreachable': 'could not be sent: the server was unreachable',
     'isolated': 'was ended: several servers crashed under this request',
+    'passed_on': 'was passed on to another node',
     'checking_links': 'waited: the node checked whether it reaches any server',
     'part_failed': 'failed without further attempts',
     'missing': 'had no answer in time',
--- a/packages/core/balsamshore_core/forwarding/actions.py
+++ b/packages/core/balsamshore_core/forwarding/actions.py
@@ -89,6 +89,29 @@
     entries: tuple[servers.ServerEntry, ...]
 
 
+class PassOn(NamedTuple):
+    """Pass a request on to another node.
+
+    Attributes:
+        exchange_id: Id of the caller's request.
+        address: The node's address for callers.
+        deadline_s: Seconds that the node has for the request.
+        used_s: Seconds of the time within which the request should be answered
+            that this node uses itself, for the way to the caller as well.
+    """
+
+    exchange_id: int
+    address: str
+    deadline_s: float
+    used_s: float
+
+
+class CloseRelay(NamedTuple):
+    """Close the connection on which a request was passed on."""
+
+    exchange_id: int
+
+
 class CloseIdle(NamedTuple):
     """Close all idle connections to servers."""
 
@@ -141,4 +164,15 @@
     steps: tuple[Step, ...] = ()
 
 
-Action = Send | Close | Drop | Check | Probe | CloseIdle | PublishState | Answer
+Action = (
+    Send
+    | Close
+    | Drop
+    | Check
+    | Probe
+    | PassOn
+    | CloseRelay
+    | CloseIdle
+    | PublishState
+    | Answer
+)
--- a/packages/core/balsamshore_core/forwarding/answers.py
+++ b/packages/core/balsamshore_core/forwarding/answers.py
@@ -55,6 +55,22 @@
     )
 
 
+def forward(
+    exchange: boards.Exchange, reason: str, reply: actions.Reply
+) -> actions.Answer:
+    """Builds the answer that another node has given."""
+    outcome = 'complete' if reply.status < 500 else 'unknown'
+    if reply.refused:
+        outcome = 'not run'
+    return actions.Answer(
+        exchange.exchange_id,
+        outcome,
+        reason,
+        reply,
+        steps=tuple(exchange.steps),
+    )
+
+
 def meets_coverage_floor(exchange: boards.Exchange) -> bool:
     """Returns whether the covered parts suffice for a merged answer."""
     return exchange.covered >= _find_required_parts(exchange)
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -19,6 +19,20 @@
 MAX_NOTES = 64  # between two looks of the host
 
 
+class Peer(typing.NamedTuple):
+    """Another node that reaches servers.
+
+    Attributes:
+        name: Name of the node.
+        address: Address for callers, `host:port`.
+        capacity: Processor capacity, in cores.
+    """
+
+    name: str
+    address: str
+    capacity: float
+
+
 class Note(typing.NamedTuple):
     """A statement of a server, for the log."""
 
@@ -129,6 +143,8 @@
         running: Number of attempts that a server may be executing.
         may_have_run: Whether a finished attempt may have been executed.
         fingerprint: What its repeats have in common, or '' if unknown.
+        passed_on: Whether another node has the request and will answer it.
+        relayed: Whether another node passed it on to this one.
         unavailable_until: Until when the request is known not to be served: it
             is quarantined, or its servers want no requests.
     """
@@ -144,6 +160,8 @@
         'may_have_run',
         'open_parts',
         'parts',
+        'passed_on',
+        'relayed',
         'route',
         'running',
         'steps',
@@ -159,6 +177,7 @@
         deadline_at: float,
         answer_at: float,
         fingerprint: str = '',
+        relayed: bool = False,
     ):
         self.exchange_id = exchange_id
         self.fingerprint = fingerprint
@@ -172,6 +191,8 @@
         self.covered = 0
         self.running = 0
         self.may_have_run = False
+        self.passed_on = False
+        self.relayed = relayed
         self.last_reply: actions.Reply | None = None
         self.steps: list[actions.Step] = []
 
@@ -243,7 +264,7 @@
             losses and answers, the host exchanges notices with other nodes.
         reachability: Whether this node reaches servers at all; updated by
             `exchanges`.
-        others_serve: Whether other nodes reach servers; set by the host from
+        peers: Nodes that carry traffic and reach servers; set by the host from
             `fleet`.
         counters: Numbers of events by name; updated by `catalog`, `exchanges`
             and the host.
@@ -286,7 +307,7 @@
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
-    others_serve: bool = False
+    peers: tuple[Peer, ...] = ()
     reachability: reachabilities.Reachability = dataclasses.field(
         default_factory=reachabilities.Reachability
     )
--- a/packages/core/balsamshore_core/forwarding/endings.py
+++ b/packages/core/balsamshore_core/forwarding/endings.py
@@ -62,6 +62,7 @@
         reason: str,
         now: float,
         output: boards.Actions,
+        reply: actions.Reply | None = None,
     ) -> None:
         """Answers a request and abandons what still runs for it.
 
@@ -70,6 +71,7 @@
             reason: Why parts are missing, or '' if none is.
             now: Monotonic seconds.
             output: The actions so far; the answer is added.
+            reply: The answer of another node that the request was passed on to.
         """
         del self._state.exchanges[exchange.exchange_id]
         for part in exchange.parts:
@@ -79,7 +81,13 @@
                 tried = ' '.join(part.tried)
                 exchange.record_step(now, 'missing', part.service, tried)
             self._abandon_attempts(part, now)
-        answer = answers.build(exchange, reason, now, self._board.rng)
+        if exchange.passed_on:
+            exchange.may_have_run = True
+            output.append(actions.CloseRelay(exchange.exchange_id))
+        if reply is None:
+            answer = answers.build(exchange, reason, now, self._board.rng)
+        else:
+            answer = answers.forward(exchange, reason, reply)
         release_parts(exchange)
         self._board.counters[f'answer_{answer.outcome}'] += 1
         output.append(answer)
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -24,6 +24,7 @@
 from balsamshore_core.forwarding import observations
 from balsamshore_core.forwarding import rates
 from balsamshore_core.forwarding import refusals
+from balsamshore_core.forwarding import relays
 from balsamshore_core.forwarding import repeats
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import sends
@@ -60,6 +61,7 @@
             board, self._isolation, self._rates, self._statements
         )
         self._endings = endings.Endings(board, self._timers)
+        self._relays = relays.Relays(board, self._endings)
         self._sends = sends.Sends(
             board,
             self._timers,
@@ -89,6 +91,7 @@
         now: float,
         fingerprint: str = '',
         distance: margins.Distance = margins.TYPICAL,
+        used_s: float | None = None,
     ) -> boards.Actions:
         """Starts an exchange.
 
@@ -100,12 +103,15 @@
             fingerprint: What repeats of the request have in common; without
                 one it is never quarantined.
             distance: How far away the caller is.
+            used_s: Seconds of the objective that another node uses, which
+                passed the request on; None if no other node did.
         """
         services = route.shards
         if not services:
             services = (self._board.splitter.choose(route),)
         allowed_s = min(deadline_s, route.timeout_s)
-        objective_s = min(route.objective_s, allowed_s)
+        objective_s = min(route.objective_s - (used_s or 0.0), allowed_s)
+        objective_s = max(0.0, objective_s)
         margin_s = margins.find_margin(distance, objective_s)
         exchange = boards.Exchange(
             exchange_id,
@@ -115,12 +121,16 @@
             now + max(0.0, allowed_s - max(DEADLINE_MARGIN_S, margin_s)),
             now + objective_s - margin_s,
             fingerprint,
+            used_s is not None,
         )
         self._state.exchanges[exchange_id] = exchange
         output: boards.Actions = []
         self._board.counters['requests'] += 1
         parts_out = self._refusals.list_parts_out(exchange, now)
         refusal = self._refusals.find_refusal(exchange, parts_out, now)
+        if refusal == 'cut_off' and self._relays.pass_on(exchange, now, output):
+            self._timers.start(exchange.deadline_at, 'deadline', exchange_id)
+            return output
         if refusal:
             self._endings.finish(exchange, refusal, now, output)
             return output
@@ -246,6 +256,38 @@
         self._finish_refusing(reached, now, output)
         return output
 
+    def handle_relay_reply(
+        self, exchange_id: int, reply: actions.Reply, now: float
+    ) -> boards.Actions:
+        """Handles the answer of a node that a request was passed on to."""
+        output: boards.Actions = []
+        exchange = self._state.exchanges.get(exchange_id)
+        if exchange is not None:
+            self._relays.handle_reply(exchange, reply, now, output)
+            self._forget_relay(exchange_id)
+        return output
+
+    def handle_relay_loss(
+        self, exchange_id: int, written: bool, now: float
+    ) -> boards.Actions:
+        """Handles a connection to another node that ended without an answer.
+
+        Args:
+            exchange_id: The request that was passed on.
+            written: Whether any byte of it may have reached the node.
+            now: Monotonic seconds.
+        """
+        output: boards.Actions = []
+        exchange = self._state.exchanges.get(exchange_id)
+        if exchange is not None:
+            self._relays.handle_loss(exchange, written, now, output)
+            self._forget_relay(exchange_id)
+        return output
+
+    def _forget_relay(self, exchange_id: int) -> None:
+        if exchange_id not in self._state.exchanges:
+            self._relays.forget(exchange_id)
+
     def hear_cut(self, now: float) -> boards.Actions:
         """Handles that another node is cut off from all servers."""
         output: boards.Actions = []
@@ -296,6 +338,9 @@
             return output
         self._board.counters['withdrawn'] += 1
         del self._state.exchanges[exchange_id]
+        if exchange.passed_on:
+            output.append(actions.CloseRelay(exchange_id))
+            self._relays.forget(exchange_id)
         for part in exchange.parts:
             for attempt in tuple(part.live):
                 attempt.abandoned = True
@@ -321,6 +366,7 @@
         output: boards.Actions = []
         for exchange in tuple(self._state.exchanges.values()):
             self._endings.finish(exchange, 'stopping', now, output)
+            self._relays.forget(exchange.exchange_id)
         return output
 
     def handle_due_timers(self, now: float) -> boards.Actions:
@@ -421,10 +467,15 @@
                     self._sends.dispatch_part(part, 'queued', now, output)
             return
         output.append(actions.CloseIdle())
-        if self._board.others_serve:
+        if self._board.peers:
             self._isolation.forget_unanswered()
         self._board.registry.forgive()
         for exchange in tuple(self._state.exchanges.values()):
+            is_answered = answers.meets_coverage_floor(exchange)
+            if exchange.passed_on or (
+                not is_answered and self._relays.pass_on(exchange, now, output)
+            ):
+                continue
             # A run that must not be repeated may still be answered.
             if exchange.route.idempotent or not (
                 exchange.running or exchange.may_have_run
@@ -464,7 +515,11 @@
         self, exchange_id: int, now: float, output: boards.Actions
     ) -> None:
         exchange = self._state.exchanges.get(exchange_id)
-        if exchange is not None and answers.meets_coverage_floor(exchange):
+        if (
+            exchange is not None
+            and not exchange.passed_on
+            and answers.meets_coverage_floor(exchange)
+        ):
             self._endings.finish(exchange, 'timeout', now, output)
 
     def _handle_deadline_timer(
@@ -473,6 +528,7 @@
         exchange = self._state.exchanges.get(exchange_id)
         if exchange is not None:
             self._endings.finish(exchange, 'timeout', now, output)
+            self._relays.forget(exchange_id)
 
     def _handle_linger_timer(
         self, attempt_id: int, now: float, output: boards.Actions
--- a/packages/core/balsamshore_core/forwarding/isolation.py
+++ b/packages/core/balsamshore_core/forwarding/isolation.py
@@ -99,7 +99,7 @@
         exchange = attempt.part.exchange
         if exchange.covered or exchange.last_reply or not exchange.fingerprint:
             return False
-        if self._board.reachability.is_cut_off and self._board.others_serve:
+        if self._board.reachability.is_cut_off and self._board.peers:
             return False
         entry = attempt.server.entry
         run = evidence.Run(attempt.alone, now)
--- a/packages/node/balsamshore_node/forwarding/dialects.py
+++ b/packages/node/balsamshore_node/forwarding/dialects.py
@@ -28,6 +28,8 @@
         head: Request line and headers for every server, without those
             that differ by attempt.
         body: The complete body.
+        used_s: Seconds of its objective that another node uses, which passed it
+            on; None if it comes from a caller.
     """
 
     method: str
@@ -38,6 +40,7 @@
     credentials: bytes
     head: bytes
     body: bytes
+    used_s: float | None = None
 
 
 class Dialect(Protocol):
@@ -56,6 +59,22 @@
     ) -> bytes:
         """Encodes a request to one server, including the body."""
 
+    def encode_relay(
+        self, request: CallerRequest, deadline_s: float, used_s: float
+    ) -> bytes:
+        """Encodes a request that is passed on to another node.
+
+        Args:
+            request: The request.
+            deadline_s: Seconds that the other node has for it.
+            used_s: Seconds of its objective that this node uses.
+        """
+
+    def read_relayed_answer(
+        self, status: int, headers: Headers, body: bytes
+    ) -> actions.Reply:
+        """Decodes the answer of another node."""
+
     def read_reply(
         self,
         status: int,
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -231,6 +231,7 @@
         for message in responses:
             self._updates.send_message(message)
         if any(record.state == 'cut_off' for record in payload.records[:1]):
+            self._update_peers(now)
             self._requests.perform(self.exchanges.hear_cut(now))
         self.exchanges.apply_slowness_reports(payload.slowness_reports, now)
         self.exchanges.apply_rate_reports(payload.rate_reports, now)
@@ -319,10 +320,7 @@
                 self.fleet.list_active_names(now),
                 self.fleet.may_lack_reports(now),
             )
-            self.board.others_serve = any(
-                record.state == 'serving'
-                for record in self.fleet.list_alive(now)
-            )
+            self._update_peers(now)
             self.board.quarantine.expire(now)
             self._requests.pool.close_expired()
         if ticks % TICKS_PER_SERVER_REPORT == 0:
@@ -351,6 +349,14 @@
             'checked_s': round(checked_age_s, 1),
         }
 
+    def _update_peers(self, now: float) -> None:
+        self.board.peers = tuple(
+            boards.Peer(record.name, record.address, record.capacity)
+            for record in placement.choose_active(
+                self.fleet.list_responsive(now)[1:]
+            )
+        )
+
     def _update_senders(self, now: float) -> None:
         senders = self.fleet.count_senders()
         if senders != self.board.senders:
--- a/packages/node/balsamshore_node/forwarding/pending.py
+++ b/packages/node/balsamshore_node/forwarding/pending.py
@@ -20,6 +20,7 @@
 from balsamshore_node.forwarding import logs
 from balsamshore_node.forwarding import messages
 from balsamshore_node.forwarding import metrics as metrics_page
+from balsamshore_node.forwarding import relays
 from balsamshore_node.forwarding import upstream
 
 NEWS_DELAY_S = 0.005  # servers often crash together
@@ -109,12 +110,22 @@
             self._handle_probes,
             source_address,
         )
+        self._relays = relays.Relays(
+            loop,
+            self._dialect,
+            self._handle_relay_reply,
+            self._handle_relay_loss,
+        )
         self._performers: dict[type, collections.abc.Callable] = {
             actions.Send: self._send_attempt,
             actions.Close: lambda action: self.pool.close(action.attempt_id),
             actions.Drop: lambda action: self.pool.lose(*action),
             actions.Check: lambda action: self.pool.check(action.entry),
             actions.Probe: lambda action: self.pool.probe(action.entries),
+            actions.PassOn: self._pass_on,
+            actions.CloseRelay: lambda action: self._relays.close(
+                action.exchange_id
+            ),
             actions.CloseIdle: lambda _: self.pool.close_idle(),
             actions.PublishState: lambda _: self._publish_state(),
             actions.Answer: self._send_answer,
@@ -161,6 +172,7 @@
                 now,
                 fingerprint,
                 connection.distance,
+                request.used_s,
             )
         )
 
@@ -213,6 +225,21 @@
     def _send_attempt(self, action: actions.Send) -> None:
         self.pool.send(action, self._pending[action.exchange_id].request)
 
+    def _pass_on(self, action: actions.PassOn) -> None:
+        self._relays.send(action, self._pending[action.exchange_id].request)
+
+    def _handle_relay_reply(
+        self, exchange_id: int, reply: actions.Reply
+    ) -> None:
+        self.perform(
+            self._exchanges.handle_relay_reply(exchange_id, reply, self.now())
+        )
+
+    def _handle_relay_loss(self, exchange_id: int, written: bool) -> None:
+        self.perform(
+            self._exchanges.handle_relay_loss(exchange_id, written, self.now())
+        )
+
     def _send_answer(self, answer: actions.Answer) -> None:
         pending = self._pending.pop(answer.exchange_id)
         closing = self.closing
@@ -253,6 +280,7 @@
             ),
             connecting=pending.connection.distance.connecting,
             retry_after_s=answer.retry_after_s,
+            relayed=pending.request.used_s is not None,
             steps=answer.steps[:40],
         ).info('answered')
 
--- a/tests/adapter/test_cutoffs.py
+++ b/tests/adapter/test_cutoffs.py
@@ -1,7 +1,9 @@
 """Nodes that lose their links to all backend servers, as real processes."""
 
 import asyncio
+import collections
 import json
+import signal
 from typing import NamedTuple
 
 import pytest
@@ -175,3 +177,35 @@
         cutoffs.write(platform, ())
         await load(platform, RETURN_S)
         assert find_served_share(await load(platform, 2.0)) > 0.95
+
+
+@pytest.mark.parametrize('manner', ['silent', 'reset'])
+async def test_a_request_that_is_passed_on_runs_at_most_once(tmp_path, manner):
+    async with test_program.start_platform(
+        tmp_path, NODES, '127.175', PROGRAM
+    ) as platform:
+        await load(platform, 1.0)
+        cutoffs.write(platform, (1,), manner)
+        await load(platform, DETECTION_S)
+        booked = [
+            await platform.send_request(1, '/n/x', 'POST', b'book')
+            for _ in range(10)
+        ]
+        assert {each.status for each in booked} == {200}
+        platform.server_modes = dict.fromkeys(platform.server_modes, 'slow')
+        sending = [
+            asyncio.create_task(
+                platform.send_request(1, '/n/x', 'POST', b'book')
+            )
+            for _ in range(12)
+        ]
+        await asyncio.sleep(0.2)
+        platform.send_signal('n2', signal.SIGKILL)
+        booked += await asyncio.gather(*sending)
+        runs = collections.Counter(run.request_id for run in platform.executed)
+        for answer in booked:
+            assert runs[answer.request_id] <= 1
+            if answer.status == 503:
+                assert not runs[answer.request_id]
+        assert {each.status for each in booked} <= {200, 502, 503}
+        assert sum(each.status == 200 for each in booked) > 12
--- a/tests/forwarding/test_reachability.py
+++ b/tests/forwarding/test_reachability.py
@@ -6,6 +6,7 @@
 import pytest
 from forwarding import worlds
 
+from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import reachability
 from balsamshore_core.forwarding import servers
 
@@ -206,7 +207,7 @@
 def test_servers_that_end_behind_lost_links_have_not_crashed_under_requests():
     world = worlds.World()
     world.warm_up()
-    world.board.others_serve = True
+    world.board.peers = (boards.Peer('n2', '127.0.0.1:1', 1.0),)
     ask_for_long(world, 'f')
     world.run(0.02)
     cut(world, 'silent')
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -77,6 +77,8 @@
         self.servers = {}
         self.runs = []
         self.closed = []
+        self.passed_on = []
+        self.closed_relays = []
         self.answers = {}
         self.events = []
         self.sequence = 0
@@ -171,6 +173,10 @@
                 self.probe(action.entries)
             elif isinstance(action, actions.CloseIdle | actions.PublishState):
                 pass
+            elif isinstance(action, actions.PassOn):
+                self.passed_on.append(action)
+            elif isinstance(action, actions.CloseRelay):
+                self.closed_relays.append(action.exchange_id)
             else:
                 took = self.now - self.arrived[action.exchange_id]
                 assert action.exchange_id not in self.answers
