Answer requests that were read before a stop closes their connection

Cause here: the connection was closed with the answer to its current request, though later ones had been read from it. Change: requests that were read are answered first. From 3 s after the signal one is taken only if it can be answered before the end, and refused at once otherwise.

--- a/packages/node/balsamshore_node/forwarding/callers.py
+++ b/packages/node/balsamshore_node/forwarding/callers.py
@@ -103,6 +103,11 @@
         self.caller = ''
         self.distance = margins.TYPICAL
 
+    @property
+    def has_more(self) -> bool:
+        """Whether requests that were read wait for the current one."""
+        return bool(self._reader.ready)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the idle timer; see `asyncio`."""
         self.transport = typing.cast(asyncio.Transport, transport)
@@ -151,7 +156,7 @@
         if self._disconnected:
             return
         self._write(payload)
-        if closing or self.closing:
+        if closing or (self.closing and not self.has_more):
             self.close()
             return
         self._start_timer(self._limits.idle_timeout_s)
@@ -195,6 +200,7 @@
             self._opened_at = None
             if not raw.keep_alive:
                 self.closing = True
+                reader.ready.clear()  # the caller said that this is the last
             self._handler.handle_request(self, raw)
         elif reader.error_status:
             self._handler.record_rejection(self, reader.error_status)
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -385,8 +385,11 @@
                 if number == signal.SIGHUP:
                     self._reload_settings()
                 elif self._shutdown_started_at is None:
-                    self._shutdown_started_at = self.now()
-                    self._requests.closing = True
+                    self._shutdown_started_at = now = self.now()
+                    self._requests.begin_shutdown(
+                        now + LEAVING_ACCEPT_S,
+                        now + self.settings.grace_s - KILL_MARGIN_S,
+                    )
                     loguru.logger.bind(event='leaving').info(
                         f'{self._requests.count()} requests still open'
                     )
--- a/packages/node/balsamshore_node/forwarding/pending.py
+++ b/packages/node/balsamshore_node/forwarding/pending.py
@@ -25,7 +25,7 @@
 
 NEWS_DELAY_S = 0.005  # servers often crash together
 MAX_LOGGED_PATH = 120  # characters; without the query, which may be private
-NO_CONFIGURATION_RETRY_S = 0.4  # Retry-After before the first configuration
+REFUSED_RETRY_S = 0.4  # Retry-After before the first configuration, or late
 
 
 class PendingRequest(NamedTuple):
@@ -77,6 +77,7 @@
         """
         self.board = board
         self.closing = False
+        self._accept_until = self._ends_at = 0.0
         self.now = read_clock
         self._exchanges = request_exchanges
         self._dialect = dialect
@@ -131,6 +132,31 @@
             actions.Answer: self._send_answer,
         }
 
+    def begin_shutdown(self, accept_until: float, ends_at: float) -> None:
+        """Closes connections after their answers from now on.
+
+        Args:
+            accept_until: Until when all requests are taken, monotonic seconds.
+            ends_at: When those without an answer are given up.
+        """
+        self.closing = True
+        self._accept_until = accept_until
+        self._ends_at = ends_at
+
+    def _comes_too_late(self, route: routes.Route, deadline_s: float) -> bool:
+        """Returns whether a request may still run when the node ends.
+
+        One that must not be repeated is taken late only if all of its time is
+        left, others if they can be answered within their objective.
+        """
+        now = self.now()
+        if not self.closing or now < self._accept_until:
+            return False
+        needed_s = min(deadline_s, route.timeout_s)
+        if route.idempotent:
+            needed_s = min(needed_s, route.objective_s)
+        return now + needed_s > self._ends_at
+
     def count(self) -> int:
         """Returns how many callers have no answer yet."""
         return len(self._pending)
@@ -151,6 +177,10 @@
         if route is None:
             self._refuse(connection, request, 404, 'no_route')
             return
+        deadline_s = request.deadline_s or route.timeout_s
+        if self._comes_too_late(route, deadline_s):
+            self._refuse(connection, request, 503, 'stopping')
+            return
         exchange_id = self._next_exchange_id
         self._next_exchange_id += 1
         connection.exchange_id = exchange_id
@@ -168,7 +198,7 @@
             self._exchanges.start(
                 exchange_id,
                 route,
-                request.deadline_s or route.timeout_s,
+                deadline_s,
                 now,
                 fingerprint,
                 connection.distance,
@@ -215,8 +245,8 @@
         ).warning(f'{request.method} {request.host}{request.target}')
         headers = []
         if status == 503:
-            headers.append(('Retry-After', f'{NO_CONFIGURATION_RETRY_S:.3f}'))
-        closing = self.closing
+            headers.append(('Retry-After', f'{REFUSED_RETRY_S:.3f}'))
+        closing = self.closing and not connection.has_more
         connection.send_answer(
             callers.encode_response(status, headers=headers, closing=closing),
             closing,
@@ -242,7 +272,7 @@
 
     def _send_answer(self, answer: actions.Answer) -> None:
         pending = self._pending.pop(answer.exchange_id)
-        closing = self.closing
+        closing = self.closing and not pending.connection.has_more
         pending.connection.send_answer(
             self._dialect.encode_answer(answer, closing), closing
         )
--- a/tests/adapter/test_program.py
+++ b/tests/adapter/test_program.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -253,6 +254,48 @@
         assert process.returncode == 0
 
 
+async def send_pipelined(platform, index, targets):
+    """Sends requests at once on one connection; returns their statuses."""
+    reader, writer = await asyncio.open_connection(
+        f'{platform.network}.2.{index}', emulator.PORTS['listen.front']
+    )
+    for number, (method, target) in enumerate(targets):
+        writer.write(
+            f'{method} {target} HTTP/1.1\r\nHost: {emulator.HOST}\r\n'
+            f'Request-Id: late-{number}\r\nDeadline-Ms: 3000\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+    received = await asyncio.wait_for(reader.read(), 10.0)
+    writer.close()
+    return [int(code) for code in re.findall(rb'HTTP/1\.1 (\d+) ', received)]
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_requests_that_come_late_in_a_stop_are_answered_truly(
+    tmp_path, method
+):
+    prefix = '/n/x' if method == 'POST' else '/p/x'
+    async with start_platform(tmp_path) as platform:
+        platform.server_modes.update(
+            dict.fromkeys(platform.server_modes, 'slower')
+        )
+        platform.send_signal('n1', signal.SIGTERM)
+        await asyncio.sleep(2.0)
+        # The first one ends 4.5 s after the signal, a second before the kill.
+        statuses = await send_pipelined(
+            platform, 1, [('GET', '/p/x'), (method, prefix), (method, prefix)]
+        )
+        assert len(statuses) == 3
+        assert statuses[0] == 200
+        ran = {run.request_id for run in platform.executed}
+        for number, status in enumerate(statuses):
+            assert status in (200, 502, 503)
+            if status == 503:
+                assert f'late-{number}' not in ran
+            if method == 'POST' and number:
+                assert status == 503
+
+
 async def test_a_reload_keeps_open_requests_and_is_logged(tmp_path):
     async with start_platform(tmp_path) as platform:
         platform.server_modes.update(
