Check the links of idle nodes once when another node loses its own

Each heartbeat of a cut-off node, every 0.5 s, made idle nodes probe three servers again. Now only the change of its state does. Tests: test_a_node_that_loses_its_links_is_news_once and test_callers_are_not_directed_to_nodes_that_are_cut_off.

--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -292,6 +292,18 @@
         member = self.members.get(record.name)
         return member is None or record.incarnation > member.record.incarnation
 
+    def list_newly_cut_off(
+        self, records: tuple[NodeRecord, ...]
+    ) -> list[NodeRecord]:
+        """Lists the records of nodes not known here to be cut off."""
+        return [
+            record
+            for record in records
+            if record.state == 'cut_off'
+            and record.name in self.members
+            and self.members[record.name].record.state != 'cut_off'
+        ]
+
     def list_active_names(self, now: float) -> list[str]:
         """Lists the other active nodes that are considered alive."""
         return [record.name for record in self.list_alive(now) if record.active]
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -220,6 +220,7 @@
             return
         now = self.now()
         self._reports.greet(peer_host, payload.records, now)
+        cut = self.fleet.list_newly_cut_off(payload.records[:1])
         responses = self.fleet.handle_message(
             peer_host,
             payload.records,
@@ -230,7 +231,7 @@
         )
         for message in responses:
             self._updates.send_message(message)
-        if any(record.state == 'cut_off' for record in payload.records[:1]):
+        if cut:
             self._update_peers(now)
             self._requests.perform(self.exchanges.hear_cut(now))
         self.exchanges.apply_slowness_reports(payload.slowness_reports, now)
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -579,3 +579,26 @@
     )
     fleet.run(10.0)
     assert not list_lacking(fleet)
+
+
+def test_a_node_that_loses_its_links_is_news_once():
+    node = Node(1, 'a', [], 0.0)
+    record = Node(2, 'a', [], 0.0).fleet.own_record
+    cut = record._replace(state='cut_off', heartbeat=2)
+    assert not node.fleet.list_newly_cut_off((cut,))  # it is not known yet
+    node.fleet.handle_message('n02', (record,), 0.0)
+    assert node.fleet.list_newly_cut_off((cut,)) == [cut]
+    node.fleet.handle_message('n02', (cut,), 0.1)
+    assert not node.fleet.list_newly_cut_off((cut._replace(heartbeat=3),))
+
+
+def test_callers_are_not_directed_to_nodes_that_are_cut_off():
+    records = [
+        Node(number, 'ab'[number % 2], [], 0.0).fleet.own_record
+        for number in range(8)
+    ]
+    cut = [record._replace(state='cut_off') for record in records[:5]]
+    chosen = placement.choose_addresses([*cut, *records[5:]], 'a')
+    assert set(chosen) <= {record.address for record in records[5:]}
+    alone = placement.choose_addresses(cut, 'a')
+    assert set(alone) == {record.address for record in cut}
