Cut nodes off from all servers in the soak

Up to all nodes at once, silent, reset or refusing, from 0 to 3 s, beside all other faults; drawn apart, so that the other faults of known seeds stay as they were.

--- a/tests/adapter/cutoffs.py
+++ b/tests/adapter/cutoffs.py
@@ -110,8 +110,8 @@
             raise ConnectionRefusedError(111, 'cut off')
 
 
-def main():
-    """Runs the program on the network that the file describes."""
+def install():
+    """Lets connections to servers follow the file from now on."""
     config = pathlib.Path(os.environ[settings.PATH_VARIABLE])
     host = json.loads(config.read_text())['host']
     network = Network(config.parent / FILE, host)
@@ -126,6 +126,11 @@
         )
 
     uvloop.Loop.create_connection = connect_if_possible
+
+
+def main():
+    """Runs the program on the network that the file describes."""
+    install()
     return core.main([], dict(os.environ), sys.stderr)
 
 
--- a/tests/adapter/links.py
+++ b/tests/adapter/links.py
@@ -6,7 +6,8 @@
     python -m adapter.links [FAULT]
 
 FAULT is one of `sabotage`.
-Only streams between nodes use the links, and those to the store if wanted.
+Only streams between nodes use the links, and those to the store if wanted. The
+links to servers follow `cutoffs`.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 import socket
 import sys
 
+from adapter import cutoffs
 from adapter import emulator
 from adapter import sabotage
 
@@ -131,6 +133,7 @@
     """Runs the program with its listener for peers behind the proxy."""
     for fault in sys.argv[1:]:
         sabotage.FAULTS[fault]()
+    cutoffs.install()
     with open(os.environ['BALSAMSHORE_CONFIG']) as settings:
         own_host = json.load(settings)['host']
     start_server, open_connection = (
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -10,6 +10,7 @@
 each server that runs them, in four manners, and are repeated at random nodes.
 Callers connect from several addresses, each time from another one.
 Servers say that they leave, until they start again, or ask for no requests.
+Nodes are cut off from all servers in three manners, up to all of them at once.
 Configurations, some of them large, travel between nodes over links that become
 slow or stand still.
 The test checks what callers and servers observed against the program's
@@ -31,6 +32,7 @@
 import sys
 import tempfile
 
+from adapter import cutoffs
 from adapter import emulator
 from adapter import endless
 from adapter import ledgers
@@ -50,6 +52,9 @@
 MEAN_FAULT_PAUSE_S = 0.5  # the pause between two faults is random
 SERVER_WAITS = ('', '', '0', '0.5', '2', 'soon')  # 'soon' is unreadable
 RECOVERY_S = 8.0
+MEAN_CUT_PAUSE_S = 2.0  # between cuts of nodes from all servers
+MEAN_CUT_S = 1.5
+CUTS = cutoffs.MANNERS
 MIN_STALL_S = 0.15  # of all servers; half of the goal of /q/x
 MAX_PROBES = 5  # of a node, while all servers stand still
 DEADLINE_MS = 2000  # of each caller
@@ -176,6 +181,7 @@
         self.rewriting = None
         self.statement_rng = random.Random(seed)
         self.restarts = []
+        self.cut_rng = random.Random(seed)
 
     async def run(self, seconds):
         platform = self.platform
@@ -207,7 +213,9 @@
                 for number in range(2)
             ]
             callers.append(asyncio.create_task(Crasher(self).run()))
+            cutting = asyncio.create_task(self.cut_nodes_off())
             await self.inject_faults(seconds)
+            cutting.cancel()
             await self.recover()
             self.ended = True
             await asyncio.wait(callers, timeout=5.0)
@@ -240,6 +248,18 @@
             await self.rng.choice(faults)()
             await asyncio.sleep(MEAN_FAULT_PAUSE_S * self.rng.random() * 2)
 
+    async def cut_nodes_off(self):
+        """Cuts nodes off from all servers now and then, up to all of them."""
+        nodes = range(1, self.nodes + 1)
+        while True:
+            await asyncio.sleep(MEAN_CUT_PAUSE_S * self.cut_rng.random() * 2)
+            cut = self.cut_rng.sample(
+                nodes, self.cut_rng.randint(1, len(nodes))
+            )
+            cutoffs.write(self.platform, cut, self.cut_rng.choice(CUTS))
+            await asyncio.sleep(MEAN_CUT_S * self.cut_rng.random() * 2)
+            cutoffs.write(self.platform, ())
+
     async def fail_server(self):
         name = self.rng.choice(sorted(self.platform.server_modes))
         self.platform.server_modes[name] = self.rng.choice(SERVER_MODES)
@@ -362,6 +382,7 @@
         """Ends all faults and checks that every node serves again."""
         platform = self.platform
         platform.store_mode = 'ok'
+        cutoffs.write(platform, ())
         if self.rewriting is not None:
             await self.rewriting
         platform.server_modes.update(dict.fromkeys(platform.server_modes, 'ok'))
