Count only probes after a loss when a server is checked for a crash

Cause, from its log: a round of probes that had begun 2 ms before the cut succeeded and confirmed checks that were refused after it. Change: a round that was not started for a check does not decide checks of later losses, the next one does. Evidence: test_probes_from_before_a_loss_do_not_show_that_a_server_crashed failed before.

--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -235,8 +235,7 @@
         output: boards.Actions = []
         if self._links.finish_check((server_id, born_ms), crashed):
             self._finish_check(server_id, born_ms, crashed, now, output)
-        else:
-            self._finish_refusing(False, now, output)
+        self._follow_verdicts(now, output)
         return output
 
     def handle_probes(
@@ -253,7 +252,7 @@
         output: boards.Actions = []
         if self._links.finish_round(reached, refused, now):
             self._follow_links(now, output)
-        self._finish_refusing(reached, now, output)
+        self._follow_verdicts(now, output)
         return output
 
     def handle_relay_reply(
@@ -431,12 +430,10 @@
         """Applies another node's reports about draining servers."""
         self._statements.apply_reports(reports, now)
 
-    def _finish_refusing(
-        self, reached: bool, now: float, output: boards.Actions
-    ) -> None:
+    def _follow_verdicts(self, now: float, output: boards.Actions) -> None:
         """Ends the checks that only a finished round of probes decides."""
-        for server_id, born_ms in self._links.take_refusing():
-            self._finish_check(server_id, born_ms, reached, now, output)
+        for incarnation, crashed in self._links.take_verdicts(now, output):
+            self._finish_check(*incarnation, crashed, now, output)
 
     def _finish_check(
         self,
--- a/packages/core/balsamshore_core/forwarding/links.py
+++ b/packages/core/balsamshore_core/forwarding/links.py
@@ -30,8 +30,9 @@
         self._reachability = board.reachability
         self._held: list[boards.Part] = []
         self._next_round_at = 0.0
+        self._check_round = 0  # the last one that was started for a check
         self._checks: dict[Incarnation, int] = {}
-        self._refusing: list[Incarnation] = []
+        self._refusing: dict[Incarnation, int] = {}
 
     def record_loss(
         self, cause: str, now: float, output: boards.Actions
@@ -79,32 +80,53 @@
         now: float,
         output: boards.Actions,
     ) -> None:
-        """Probes other servers while one is checked that may have crashed."""
-        if not self._reachability.is_probing:
+        """Probes other servers while one is checked that may have crashed.
+
+        A round that was not started for a check may have succeeded before the
+        links were lost, so the next one counts.
+        """
+        reachable = self._reachability
+        if not reachable.is_probing:
             self._probe(now, output)
-        self._checks[incarnation] = self._reachability.rounds
+            self._check_round = reachable.rounds
+        elif self._check_round < reachable.rounds:
+            self._checks[incarnation] = reachable.rounds + 1
+            return
+        self._checks[incarnation] = reachable.rounds
 
     def finish_check(self, incarnation: Incarnation, crashed: bool) -> bool:
         """Records whether a server refused a connection.
 
         Returns:
-            Whether the result is final. Otherwise `take_refusing` returns the
-            server after the round of probes.
+            Whether the result is final. Otherwise `take_verdicts` returns it
+            after the round of probes that counts.
         """
-        checked_round = self._checks.pop(incarnation, 0)
+        counting_round = self._checks.pop(incarnation, 0)
         if not crashed or not self._has_other_candidates(incarnation):
             return True
-        if self._reachability.reached_round >= checked_round:
-            return True
-        self._refusing.append(incarnation)
+        self._refusing[incarnation] = counting_round
         return False
 
-    def take_refusing(self) -> list[Incarnation]:
-        """Returns the servers that refused while no probe had succeeded."""
-        if self._reachability.is_probing:
+    def take_verdicts(
+        self, now: float, output: boards.Actions
+    ) -> list[tuple[Incarnation, bool]]:
+        """Returns the servers that refused, and whether they have crashed.
+
+        Those whose round of probes is still to come stay.
+        """
+        reachable = self._reachability
+        if reachable.is_probing or not self._refusing:
             return []
-        refusing, self._refusing = self._refusing, []
-        return refusing
+        verdicts = []
+        for incarnation, counting_round in tuple(self._refusing.items()):
+            if counting_round <= reachable.rounds:
+                del self._refusing[incarnation]
+                crashed = reachable.reached_round >= counting_round
+                verdicts.append((incarnation, crashed))
+        if self._refusing:
+            self._probe(now, output)
+            self._check_round = reachable.rounds
+        return verdicts
 
     def hold(self, part: boards.Part, now: float) -> bool:
         """Holds a part while the links are checked; returns whether it is."""
--- a/tests/forwarding/test_reachability.py
+++ b/tests/forwarding/test_reachability.py
@@ -250,3 +250,18 @@
         assert {each.server_id for each in probed} >= {
             server.entry.server_id for server in listed[7:]
         }
+
+
+def test_probes_from_before_a_loss_do_not_show_that_a_server_crashed():
+    world = worlds.World()
+    world.warm_up()
+    for server in world.servers.values():
+        server.work_s = 5.0
+    world.ask(world.scattered, 9.0, 'f')
+    world.run(1.2)
+    world.perform(world.exchanges.hear_cut(world.now))
+    assert world.board.reachability.is_probing  # it will succeed
+    reset_links(world)
+    world.run(1.0)
+    assert world.board.counters['crash_checks']
+    assert not list_crashes(world)
