Do not send what was passed on from the queue here as well

Found by reading the diff; never seen by a caller. A request that waited for a connection when its node was cut off was passed on, and stayed in the queue: after the links were back it was sent here too, so one that must not be repeated ran twice. Change: the parts of a request that was passed on are not open here until its answer. A probe of an invalid published address counts as not reached. Evidence: test_what_was_passed_on_while_it_waited_is_not_sent_later failed before.

--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -93,7 +93,9 @@
         self.retry_spent_at: float | None = None
 
     def is_open(self) -> bool:
-        """Returns whether the part has no result yet."""
+        """Returns whether the part has no result yet and is decided here."""
+        if self.exchange.passed_on:
+            return False
         return self.reply is None and not self.failure
 
 
--- a/packages/core/balsamshore_core/forwarding/endings.py
+++ b/packages/core/balsamshore_core/forwarding/endings.py
@@ -74,6 +74,10 @@
             reply: The answer of another node that the request was passed on to.
         """
         del self._state.exchanges[exchange.exchange_id]
+        if exchange.passed_on:
+            exchange.passed_on = False
+            exchange.may_have_run = True
+            output.append(actions.CloseRelay(exchange.exchange_id))
         for part in exchange.parts:
             if part.is_open():
                 part.failure = reason or 'timeout'
@@ -81,9 +85,6 @@
                 tried = ' '.join(part.tried)
                 exchange.record_step(now, 'missing', part.service, tried)
             self._abandon_attempts(part, now)
-        if exchange.passed_on:
-            exchange.may_have_run = True
-            output.append(actions.CloseRelay(exchange.exchange_id))
         if reply is None:
             answer = answers.build(exchange, reason, now, self._board.rng)
         else:
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -338,6 +338,7 @@
         self._board.counters['withdrawn'] += 1
         del self._state.exchanges[exchange_id]
         if exchange.passed_on:
+            exchange.passed_on = False
             output.append(actions.CloseRelay(exchange_id))
             self._relays.forget(exchange_id)
         for part in exchange.parts:
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -396,12 +396,14 @@
 
     async def _open(self, entry: servers.ServerEntry) -> bool:
         """Opens and closes a connection; returns whether it was accepted."""
-        host, port = sockets.split_address(entry.address)
         self.opened += 1
         try:
+            host, port = sockets.split_address(entry.address)
             transport, _ = await self._loop.create_connection(
                 asyncio.Protocol, host, port, local_addr=self._source
             )
+        except (ValueError, OverflowError):
+            return False  # the published address is invalid
         except OSError as error:
             # Without free descriptors nothing shows that links are lost.
             return error.errno in (errno.EMFILE, errno.ENFILE)
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -209,3 +209,31 @@
         received[2] = (headers.RELAY_HEADER, invalid)
         relayed = dialect.read_request(b'POST', b'/p/x', received, b'')
         assert relayed.used_s == 0.0
+
+
+def test_what_was_passed_on_while_it_waited_is_not_sent_later():
+    world = worlds.World()
+    world.set_table(1, connections=3)
+    world.warm_up()
+    world.board.peers = PEERS
+    booking = make_booking()
+    for server in world.servers.values():
+        server.work_s = 9.0
+    for _ in range(3):
+        world.ask(booking, 9.0)
+    waiting = [world.ask(booking, 9.0) for _ in range(5)]
+    world.run(0.01)
+    for server in world.servers.values():
+        server.mode = 'unreachable'
+    for _ in range(20):
+        world.ask(worlds.make_route('/r/', service='s1'))
+        world.run(0.05)
+    assert world.board.reachability.is_cut_off
+    assert set(waiting) <= {each.exchange_id for each in world.passed_on}
+    for server in world.servers.values():
+        server.mode, server.work_s = 'ok', 0.01
+    for attempt in tuple(world.attempts):
+        world.lose(attempt, True, 'reset')
+    world.run(3.0)
+    assert not world.board.reachability.is_cut_off
+    assert not {run.exchange_id for run in world.runs} & set(waiting)
