Show that requests are never answered after a crash during a link check

The three replicas of one shard want no requests for a while and then crash. The reply that ends the check of the links finishes its own request first, which raises KeyError and drops the answers to all requests that were held.

--- a/review/standin.py
+++ b/review/standin.py
@@ -118,6 +118,9 @@
         self.host = host
         self.slots = slots
         self.work_s = 0.01
+        self.choose_work_s = lambda: self.work_s
+        self.born = 1_700_000_000_000
+        self.tasks = set()
         self.answer = None
         self.runs = []
         self.sequence = 0
@@ -143,9 +146,25 @@
             'state': state,
             'warmupLeftMs': 0,
             'seq': self.sequence,
-            'born': 1_700_000_000_000,
+            'born': self.born,
         }
 
+    async def crash(self, down_s):
+        """Ends all connections; starts again under the same id."""
+        self.platform.record.add('crash', self.server_id)
+        self.server.close()
+        for task in tuple(self.tasks):
+            task.cancel()
+        await asyncio.sleep(down_s)
+        self.restart()
+        await self.open()
+        await self.register()
+
+    def restart(self):
+        """Starts anew under the same id."""
+        self.born += 1000
+        self.sequence = 0
+
     async def register(self, state='ready'):
         await self.platform.store.put(
             f'servers/{self.server_id}', self.entry(state)
@@ -160,7 +179,7 @@
 
     async def answer_soundly(self, request, writer):
         self.begin(request)
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.choose_work_s())
         writer.write(
             encode(
                 200,
@@ -173,6 +192,8 @@
         return True
 
     async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
         try:
             while (request := await read_request(reader)) is not None:
                 wanted = request.headers.get('target-instance')
@@ -185,8 +206,9 @@
                 elif not await self.answer(self, request, writer):
                     return
         except (OSError, asyncio.CancelledError):
-            return
+            writer.transport.abort()
         finally:
+            self.tasks.discard(task)
             writer.close()
 
 
@@ -392,6 +414,8 @@
         The status is 0 if the connection ended without a complete answer.
         """
         record = self.platform.record
+        if self._writer is not None and self._reader.at_eof():
+            self.close()  # the node closed the idle connection
         if self._writer is None:
             await self.connect()
         self.count += 1
@@ -432,12 +456,14 @@
 class Traffic:
     """Requests at a steady rate, on connections that are kept open."""
 
-    def __init__(self, platform, classes):
+    def __init__(self, platform, classes, nodes=None):
         self.platform = platform
+        self.nodes = nodes or list(platform.nodes.values())
         self.classes = classes
         self.idle = collections.defaultdict(list)
         self.lost = collections.defaultdict(list)
         self.statuses = collections.Counter()
+        self.took = []
         self.count = 0
         self.sending = set()
 
@@ -449,12 +475,11 @@
     async def _play_class(self, seconds, route, per_s, deadline_ms):
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
-        nodes = list(self.platform.nodes.values())
         while loop.time() < ends_at:
             self.count += 1
             task = asyncio.create_task(
                 self._send(
-                    nodes[self.count % len(nodes)],
+                    self.nodes[self.count % len(self.nodes)],
                     self.count,
                     f'/{route}/{self.count}',
                     deadline_ms,
@@ -483,11 +508,13 @@
         kept = client is not None
         if client is None:
             client = Client(self.platform, node, f'c{number}')
+        started_at = self.platform.record.now()
         try:
             request_id, status, _, _ = await client.send(target, deadline_ms)
         except (OSError, TimeoutError):
             self.statuses['refused'] += 1
             return
+        self.took.append(self.platform.record.now() - started_at)
         self.statuses[status] += 1
         if status == 0 and kept:
             self.lost[node.name].append(request_id)
@@ -506,15 +533,20 @@
         self.store = Store(f'{self.network}.0.1')
         self.replicas = {}
         self.nodes = {}
+        self.others = []  # with processes of their own
         self.tasks = set()
 
     async def start_store(self):
         await self.store.open()
 
-    async def add_replica(self, server_id, service, slots=4):
+    def make_replica(self, server_id, service, slots=4):
         host = f'{self.network}.1.{len(self.replicas) + 1}'
         replica = Replica(self, server_id, service, host, slots)
         self.replicas[server_id] = replica
+        return replica
+
+    async def add_replica(self, server_id, service, slots=4):
+        replica = self.make_replica(server_id, service, slots)
         await replica.open()
         await replica.register()
         return replica
@@ -585,9 +617,14 @@
         """Ends all processes and writes the record."""
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
-        for node in self.nodes.values():
-            node.end()
+        for process in (*self.nodes.values(), *self.others):
+            process.end()
         self.record.write()
+        if os.environ.get('KEEP_LOGS'):
+            for node in self.nodes.values():
+                pathlib.Path(os.environ['KEEP_LOGS'], node.name).write_text(
+                    node.read_log()
+                )
         self._temporary.cleanup()
 
 
