--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,4 @@
-"""One replica of three sends answers without end, in small chunks.
+"""Some answers of one replica in three have no end, in small chunks.
 
 It does so twice for 5.5 s.
 The platform kills a process whose memory is over `memoryMb` and starts it
@@ -7,6 +7,7 @@
 
 import collections
 import pathlib
+import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
@@ -21,6 +22,8 @@
 WORK_S = {'ledger': 0.17}  # others: 0.03
 QUERY_WORK_S = 0.03
 MEMORY_MB = 300
+ENDLESS_SHARE = 0.05  # of the answers of a faulty replica
+RNG = random.Random(1)
 CALM_S = 8.0
 TROUBLE_S = 5.5  # as long as replicas hand out wrong bytes on the site
 AFTER_S = 6.0
@@ -32,6 +35,8 @@
 
 
 async def answer_without_end(replica, request, writer):
+    if RNG.random() >= ENDLESS_SHARE:
+        return await replica.answer_soundly(request, writer)
     replica.begin(request)
     writer.write(
         b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -73,20 +78,26 @@
     traffic = standin.Traffic(platform, CLASSES)
     await traffic.play(CALM_S)
     traffic.check_calm()
-    faulty = platform.replicas['ledger-0']
+    faulty = [
+        replica
+        for replica in platform.replicas.values()
+        if replica.server_id.endswith('-0')
+    ]
     for _ in range(TIMES):
         if standin.TROUBLE:
-            platform.record.add('trouble', 'begins', faulty.server_id)
-            faulty.answer = answer_without_end
+            platform.record.add('trouble', 'begins', len(faulty))
+            for replica in faulty:
+                replica.answer = answer_without_end
         await traffic.play(TROUBLE_S)
-        faulty.answer = None
+        for replica in faulty:
+            replica.answer = None
         platform.record.add('trouble', 'ends')
         await traffic.play(AFTER_S)
     await traffic.finish()
     sound_runs = {
         request_id
         for replica in platform.replicas.values()
-        if replica is not faulty
+        if replica not in faulty
         for request_id in replica.runs
     }
     lost = {
