Log what a process was working on when it ends by itself

The record of the odd entry cannot tell its hypotheses apart: the last words of a process are a traceback without the key that was being decoded, outside the JSON log. Errors in callbacks of the loop went to standard error as well.

An unexpected error is now counted by place and logged with its frames and notes, one line a second for each place. Nothing else changes.

--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -25,6 +25,7 @@
 from balsamshore_core.forwarding import routes
 from balsamshore_node.forwarding import callers
 from balsamshore_node.forwarding import dialects
+from balsamshore_node.forwarding import faults
 from balsamshore_node.forwarding import gossip
 from balsamshore_node.forwarding import logs
 from balsamshore_node.forwarding import metrics as metrics_page
@@ -94,6 +95,7 @@
             settings.failure_domain, rng, settings.retry_budget_limits, now
         )
         self.board.departed.drain_s = settings.drain_s
+        self._faults = faults.Faults(self.board.counters, self.now)
         self.fleet = fleets.Fleet(
             fleets.NodeRecord(
                 settings.name,
@@ -175,9 +177,18 @@
         self._log = logs.configure(
             1, self.settings.log_level, self.settings.name
         )
-        self._requests.open(
-            asyncio.get_running_loop(), self.settings.source_address
-        )
+        try:
+            await self._serve()
+        except Exception as error:
+            self._faults.record(error, 'process')
+            raise
+        finally:
+            self._log.flush()
+
+    async def _serve(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._faults.handle_loop_error)
+        self._requests.open(loop, self.settings.source_address)
         self._front = callers.Listener(self._requests, routes.CallerLimits())
         self._page_listeners = [
             callers.Listener(pages.Handler(self, page), routes.CallerLimits())
@@ -206,7 +217,6 @@
             await self._stopped.wait()
             tasks.cancel_scope.cancel()
         loguru.logger.bind(event='stop').info('stopped')
-        self._log.flush()
 
     def _listen(self, address: str) -> socket.socket:
         return self._listening_sockets.get(address) or sockets.listen(address)
