Read numbers of the store with their range

Callers saw connections end without an answer: one entry whose warmupLeftMs has 401 digits ended the processes that read it. The decoder checked types only; a Python integer has no bound, so it passed the check and raised OverflowError in the division by 1000, in a task whose errors end the process. A timeoutMs of 401 digits did the same, and a born of 2**70 ended all nodes once that server stated anything, since no message to other nodes can hold it.

Each number is now read with its type and range in one place (node/forwarding/fields.py); what passes fits into a float, a timer and a message. NaN and infinity are in no range.

--- /dev/null
+++ b/packages/node/balsamshore_node/forwarding/fields.py
@@ -0,0 +1,98 @@
+"""Reads fields of decoded JSON, each with its type and range.
+
+A value from outside may have any type and size. What passes these checks fits
+into a float, a timer, a socket address and a message to other nodes.
+"""
+
+from typing import Any
+
+MAX_COUNT = 2**31 - 1
+MAX_COUNTER = 2**63 - 1  # the largest signed integer of MessagePack
+MAX_DURATION_MS = 366 * 86_400_000
+NUMBER_TYPES = (int, float)
+
+
+class FieldError(ValueError):
+    """A field that is missing or has an invalid value."""
+
+
+def read(fields: Any, name: str, types: Any, default: Any = None) -> Any:
+    """Reads a field of one of some types.
+
+    Raises:
+        FieldError: It is missing without a default, or has another type.
+    """
+    if not isinstance(fields, dict):
+        raise FieldError(f'{fields!r:.80} is not a JSON object')
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, types):
+        raise FieldError(f'field {name!r} has invalid value {value!r:.80}')
+    return value
+
+
+def read_integer(
+    fields: Any, name: str, low: int, high: int, default: int | None = None
+) -> int:
+    """Reads an integer from `low` to `high`.
+
+    Raises:
+        FieldError: It is missing, has another type or is out of range.
+    """
+    value = read(fields, name, int, default)
+    _check_range(name, value, low, high)
+    return value
+
+
+def read_number(
+    fields: Any,
+    name: str,
+    low: float,
+    high: float,
+    default: float | None = None,
+) -> float:
+    """Reads a finite number from `low` to `high`.
+
+    Raises:
+        FieldError: It is missing, has another type or is out of range.
+    """
+    value = read(fields, name, NUMBER_TYPES, default)
+    _check_range(name, value, low, high)
+    return float(value)
+
+
+def read_seconds(
+    fields: Any, name: str, default_ms: float | None = None
+) -> float:
+    """Reads a duration in milliseconds and returns seconds.
+
+    Raises:
+        FieldError: It is missing, has another type or is out of range.
+    """
+    return read_number(fields, name, 0, MAX_DURATION_MS, default_ms) / 1000
+
+
+def read_text(fields: Any, name: str, default: str | None = None) -> str:
+    """Reads a string without control characters and lone surrogates.
+
+    Raises:
+        FieldError: It is missing, has another type or cannot be printed.
+    """
+    value = read(fields, name, str, default)
+    if not value.isprintable():
+        raise FieldError(f'field {name!r} has unprintable text {value!r:.80}')
+    return value
+
+
+def _check_range(name: str, value: float, low: float, high: float) -> None:
+    """Raises a FieldError also for NaN, which is in no range."""
+    if not low <= value <= high:
+        shown = f'{value:.3g}' if isinstance(value, float) else _show(value)
+        raise FieldError(
+            f'field {name!r} is {shown}, expected {low:g} to {high:g}'
+        )
+
+
+def _show(value: int) -> str:
+    """Returns an integer; only its size if it is large."""
+    bits = value.bit_length()
+    return str(value) if bits <= 64 else f'an integer of {bits} bits'
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -7,6 +7,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import msgpack
 import pytest
 
 from balsamshore_core.forwarding import actions
@@ -85,6 +86,59 @@
     assert decode('op/config', fields) is None
 
 
+ANY_VALUE = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([2**70, 10**400, -(10**400), 10**4000])
+    | st.floats()
+    | st.text(st.characters(), max_size=5),
+    lambda inner: st.lists(inner, max_size=2),
+    max_leaves=3,
+)
+
+
+def check_numbers(values):
+    """Numbers fit into a float and into a message to other nodes."""
+    msgpack.packb(values)
+    for value in values:
+        assert not isinstance(value, float) or math.isfinite(value)
+
+
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis.given(st.sampled_from(sorted(ENTRY)), ANY_VALUE)
+def test_any_value_in_a_field_of_an_entry_is_read_or_refused(field, value):
+    entry = decode('servers/i-1', {**ENTRY, field: value})
+    if entry is not None:
+        check_numbers(tuple(entry))
+
+
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis.given(st.sampled_from(sorted(ROUTE)), ANY_VALUE)
+def test_any_value_in_a_field_of_a_route_is_read_or_refused(field, value):
+    table = decode('op/config', {**TABLE, 'routes': [{**ROUTE, field: value}]})
+    if table is not None:
+        (routes_of_host,) = table.by_host.values()
+        check_numbers(tuple(routes_of_host[0]))
+
+
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis.given(st.sampled_from(sorted(TABLE['limits'])), ANY_VALUE)
+def test_any_value_in_a_limit_is_read_or_refused(field, value):
+    limits = {**TABLE['limits'], field: value}
+    table = decode('op/config', {**TABLE, 'limits': limits})
+    if table is not None:
+        check_numbers(tuple(table.limits))
+
+
+@pytest.mark.parametrize('weight', [10**401, -1, math.nan, math.inf, '1'])
+def test_a_weight_out_of_range_is_refused(weight):
+    split = [{'service': 'a', 'weight': weight}, {'service': 'b', 'weight': 1}]
+    route = {k: v for k, v in ROUTE.items() if k != 'gather'}
+    table = {**TABLE, 'routes': [{**route, 'split': split}]}
+    assert decode('op/config', table) is None
+
+
 def test_a_table_has_routes_services_and_limits():
     table = decode('op/config', TABLE)
     route = routes.find_route(table, 'x.EXAMPLE:80', '/a/b?c=/d/')
