Take an entry for a server only if its address can be connected

Callers got 502 and then 503 from entries with port 99999: the check was a pattern that also matched ports above 65535 and 0, hosts above 255, digits of other scripts and a line end after the port, so such entries became servers, and an attempt at one was never reported as lost.

--- a/packages/node/balsamshore_node/forwarding/fields.py
+++ b/packages/node/balsamshore_node/forwarding/fields.py
@@ -4,11 +4,14 @@
 into a float, a timer, a socket address and a message to other nodes.
 """
 
+import ipaddress
 from typing import Any
 
 MAX_COUNT = 2**31 - 1
 MAX_COUNTER = 2**63 - 1  # the largest signed integer of MessagePack
 MAX_DURATION_MS = 366 * 86_400_000
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 NUMBER_TYPES = (int, float)
 
 
@@ -83,6 +86,35 @@
     return value
 
 
+def read_address(fields: Any, name: str) -> str:
+    """Reads the `IPv4:port` of a host to which connections can be made.
+
+    Raises:
+        FieldError: It is missing or is no such address.
+    """
+    value = read(fields, name, str)
+    host, _, port = value.rpartition(':')
+    if not (_is_host(host) and _is_port(port)):
+        raise FieldError(f'{name} {value!r:.80} is not IPv4:port')
+    return value
+
+
+def _is_host(text: str) -> bool:
+    try:
+        address = ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return not (
+        address.is_unspecified or address.is_multicast or address.is_reserved
+    )
+
+
+def _is_port(text: str) -> bool:
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_PORT_DIGITS):
+        return False
+    return 0 < int(text) <= MAX_PORT
+
+
 def _check_range(name: str, value: float, low: float, high: float) -> None:
     """Raises a FieldError also for NaN, which is in no range."""
     if not low <= value <= high:
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -86,6 +86,27 @@
     assert decode('op/config', fields) is None
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        '10.0.0.1:0', '10.0.0.1:65536', '10.0.0.1:99999', '10.0.0.1:',
+        '10.0.0.1:080x', '10.0.0.1:-1', '10.0.0.1: 80', '10.0.0.1:80\n',
+        '10.0.0.1:8_0', '10.0.0.1:000080', '10.0.0.1:\u0668\u0660',
+        '999.1.1.1:80', '10.0.0:80', '10.0.0.01:80', '1\u0660.0.0.1:80',
+        '0.0.0.0:80', '224.0.0.1:80', '255.255.255.255:80', '::1:8169',
+        '[::1]:80', 'host:80', ':80', '', '10.0.0.1', '10.0.0.1:80:80',
+    ],
+)  # fmt: skip
+def test_an_address_without_a_port_that_can_be_connected_is_refused(address):
+    assert decode('servers/i-1', {**ENTRY, 'address': address}) is None
+
+
+@pytest.mark.parametrize('address', ['10.0.0.1:1', '127.0.0.1:65535'])
+def test_the_first_and_the_last_port_are_addresses(address):
+    entry = decode('servers/i-1', {**ENTRY, 'address': address})
+    assert entry.address == address
+
+
 ANY_VALUE = st.recursive(
     st.none()
     | st.booleans()
