Skip items of the store that cannot be read, not their page

One malformed item failed the whole listing or watch that held it, so a reader followed nothing while it was there; a lone surrogate in a key ended the readers, as no message to other nodes can hold it, and a line end in a key would have become a header of the requests to that server.

An item without a readable key or revision is logged, counted (malformed_items) and left out; a value that is not base64 is one without content, which names no server. Keys are printable ASCII of at most 200 bytes, as ids in headers must be; revisions and eras have the range that orders them.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -20,6 +20,7 @@
 from balsamshore_core.forwarding import servers
 
 ERA_SHIFT = 40  # bits of a revision within its era
+MAX_NUMBER = (1 << ERA_SHIFT) - 1  # largest revision of the store
 MAX_ERA = 1 << 20
 RETENTION_S = 2.2  # expired entries return within 2 s after an outage
 TOMBSTONE_S = 30.0  # how long removals are kept for peers
@@ -37,7 +38,7 @@
 
 def find_number(revision: int) -> int:
     """Returns the store's own number of a revision."""
-    return revision & (1 << ERA_SHIFT) - 1
+    return revision & MAX_NUMBER
 
 
 class Item(NamedTuple):
--- a/packages/node/balsamshore_node/forwarding/dialects.py
+++ b/packages/node/balsamshore_node/forwarding/dialects.py
@@ -96,12 +96,14 @@
         as_of: The store's revision when the reply began.
         age_s: Seconds since then; a reply may take long over a slow link.
         history_lost: Whether the store no longer has the requested history.
+        malformed: Number of items left out because they cannot be read.
     """
 
     items: list[catalog.Item]
     as_of: int
     age_s: float = 0.0
     history_lost: bool = False
+    malformed: int = 0
 
 
 class Store(Protocol):
--- a/packages/node/balsamshore_node/forwarding/storereads.py
+++ b/packages/node/balsamshore_node/forwarding/storereads.py
@@ -121,6 +121,7 @@
                 'reading the store succeeds again'
             )
         old_revision = self._catalog.revision
+        self._board.counters['malformed_items'] += reply.malformed
         if reply.history_lost:
             loguru.logger.bind(event='lost').warning(
                 'the store no longer has the changes requested by '
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -149,7 +149,9 @@
         await platform.stop()
 
 
-@pytest.mark.parametrize('era', [-1, 'x', 2**70])
+@pytest.mark.parametrize(
+    'era', [-1, 'x', 2**70, '0' * 20 + '9' * 20, '9' * 5000]
+)
 async def test_an_invalid_era_is_an_error(tmp_path, era):
     platform, client = await start_store(tmp_path, '127.237')
     try:
@@ -158,3 +160,85 @@
             await client.read_all()
     finally:
         await platform.stop()
+
+
+# Items that another writer left
+
+
+MALFORMED_ITEMS = (
+    None,
+    7,
+    'servers/x',
+    {},
+    {'key': 'servers/x'},
+    {'key': 7, 'value': '', 'revision': 3},
+    {'key': 'servers/\ud800', 'value': '', 'revision': 3},
+    {'key': 'servers/x\r\nX-Odd: 1', 'value': '', 'revision': 3},
+    {'key': f'servers/{"x" * 200}', 'value': '', 'revision': 3},
+    {'key': 'servers/x', 'value': '', 'revision': 'new'},
+    {'key': 'servers/x', 'value': '', 'revision': 2**70},
+    {'key': 'servers/x', 'value': '', 'revision': -1},
+    {'key': 'servers/x', 'value': '', 'revision': 1e999},
+)
+
+
+class OddEmulator(emulator.Emulator):
+    """Puts an item, as it is, before those of each page and each watch."""
+
+    item = None
+
+    def _encode_json(self, fields):
+        for name in ('items', 'events'):
+            if name in fields:
+                fields = {**fields, name: [self.item, *fields[name]]}
+        return super()._encode_json(fields)
+
+
+@pytest.fixture
+async def odd_store(tmp_path):
+    platform = OddEmulator(tmp_path, '127.238')
+    await platform.start()
+    for number in range(SERVERS):
+        await platform.put(f'servers/s{number}', {'service': 'x'})
+    await platform.put('op/config', emulator.make_table(1))
+    try:
+        yield platform, store.Store(f'{platform.store_host}:8229')
+    finally:
+        await platform.stop()
+
+
+@pytest.mark.parametrize('item', MALFORMED_ITEMS)
+async def test_an_item_that_cannot_be_read_does_not_fail_its_page(
+    odd_store, item
+):
+    platform, client = odd_store
+    platform.item = item
+    listing = await client.read_all()
+    assert len(listing.items) == SERVERS + 1
+    assert listing.malformed == 2  # one on each page
+    watched = await client.watch(1, 0.05)
+    assert {entry.key for entry in watched.items} == set(platform.items)
+    assert watched.malformed == 1
+
+
+@pytest.mark.parametrize('value', [None, 7, 'a', '****', '\ud800', ['x']])
+async def test_a_value_that_cannot_be_read_is_one_without_content(
+    odd_store, value
+):
+    platform, client = odd_store
+    platform.item = {'key': 'servers/x', 'value': value, 'revision': 3}
+    for reply in (await client.read_all(), await client.watch(1, 0.05)):
+        (odd, *_) = (item for item in reply.items if item.key == 'servers/x')
+        assert odd == catalog.Item('servers/x', 3, b'')
+        assert not reply.malformed
+
+
+@pytest.mark.parametrize('as_of', [None, '9', True, -1, 2**70, 1e999])
+async def test_a_page_without_a_revision_is_an_error(
+    odd_store, monkeypatch, as_of
+):
+    platform, client = odd_store
+    platform.item = {'key': 'servers/x', 'value': '', 'revision': 3}
+    monkeypatch.setattr(platform, 'revision', as_of)
+    with pytest.raises(errors.StoreError, match='asOf'):
+        await client.read_all()
