Let the newest revision of an entry count within an era of the store

Callers got 503 for good after an odd entry under the id of their only server: an entry with a later born, a later seq or another service replaced it, and its true entry, written again under a newer revision, had the lower born and was ignored. The node even put the odd one under the newer revision and told it to others.

The store orders its changes, and a replica's next heartbeat writes over whatever another writer or a late write of an earlier start left, so within an era the newest revision counts. Start and sequence order the states only after the store came back from an older copy, for 30 s, as its servers write again what it lost.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -2,13 +2,15 @@
 
 Items carry the store's revisions, so updates may arrive from any node, in any
 order and more than once: the newest revision of a key wins. The version of
-the configuration and the incarnation of a server never decrease.
+the configuration never decreases.
 
 The store may come back from an older copy and give revisions out again. Each
 time its era grows; an era and a revision make one number here, so whatever is
 of a newer era wins, and a node that still has the former one cannot bring it
 back. What the copy shows in an older state than this node knows stays as it is
-known, under the new revision.
+known, under the new revision. Start and sequence of a server order its states
+then, and only then: within an era an entry of another writer may have higher
+ones than the server itself, which writes its true entry later.
 """
 
 import collections.abc
@@ -24,6 +26,9 @@
 MAX_ERA = 1 << 20
 RETENTION_S = 2.2  # expired entries return within 2 s after an outage
 TOMBSTONE_S = 30.0  # how long removals are kept for peers
+# Within this time of the store's return its servers have written their entries
+# again, and so possibly older states of them.
+OLD_STATES_S = 30.0
 
 
 def make_revision(era: int, number: int) -> int:
@@ -82,6 +87,8 @@
         self._retained_until: dict[str, float] = {}
         self._entries: dict[str, servers.ServerEntry] = {}
         self._keys_by_address: dict[str, str] = {}
+        # Until when the store may show older states of a key than are known.
+        self._old_states_until: dict[str, float] = {}
         self._purged_revision = 0
         self.revision = 0
 
@@ -178,6 +185,7 @@
                 del self._removed_at[key]
                 item = self._items.pop(key)
                 entry = self._entries.pop(key, None)
+                self._old_states_until.pop(key, None)
                 if entry and self._keys_by_address.get(entry.address) == key:
                     del self._keys_by_address[entry.address]
                 self._purged_revision = max(
@@ -222,10 +230,8 @@
             self._unregister(key, changes)
             return True
         current = self._entries.get(key)
-        # born_ms is the incarnation of the server.
-        if current is not None and (decoded.born_ms, decoded.sequence) < (
-            current.born_ms,
-            current.sequence,
+        if current is not None and self._is_old_state(
+            decoded, current, key, is_new_era, now
         ):
             self._board.counters['old_reports'] += 1
             return False
@@ -244,6 +250,25 @@
             )
         return True
 
+    def _is_old_state(
+        self,
+        decoded: servers.ServerEntry,
+        current: servers.ServerEntry,
+        key: str,
+        is_new_era: bool,
+        now: float,
+    ) -> bool:
+        """Returns whether an entry comes from an older copy of the store."""
+        if (decoded.born_ms, decoded.sequence) >= (
+            current.born_ms,
+            current.sequence,
+        ):
+            self._old_states_until.pop(key, None)
+            return False
+        if is_new_era:
+            self._old_states_until[key] = now + OLD_STATES_S
+        return now < self._old_states_until.get(key, now)
+
     def _keep_known_state(self, item: Item, known: Item | None) -> None:
         """Keeps the newer state of a key under the revision of an older one.
 
--- a/tests/forwarding/test_eras.py
+++ b/tests/forwarding/test_eras.py
@@ -214,6 +214,20 @@
         assert node.board.table.version == 5
 
 
+def test_older_states_that_are_written_again_do_not_count():
+    world, copy = start_drill()
+    world.store.restore(copy)
+    world.run(1.0)
+    world.store.write('b', ready(1))
+    world.run(1.0)
+    for node in world.nodes:
+        assert node.list_usable() == {'a', 'c'}
+    world.store.write('b', ready(3))
+    world.run(1.0)
+    for node in world.nodes:
+        assert 'b' in node.list_usable()
+
+
 def test_a_server_that_is_not_written_again_is_let_go():
     world, copy = start_drill()
     world.store.restore(copy)
