Confine an unexpected error to the item, the peer or the step that caused it

An error that nobody expected in the handling of one item of the store, one fetch from a peer, one step of a tick or one signal ended the whole process, with all requests that it held, as all of these ran in one group of tasks. An error in the middle of a batch of changes also lost the rest of the batch.

Each now costs what it was raised in: the item (the others of its batch apply), the read of the store (all items are read next, after a backoff), the fetch (another peer is asked), the datagram, the step (the others of the tick run), the signal. It is logged and counted by place. A stop still ends in time. A node that cannot open its sockets still ends, as it cannot serve.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -76,12 +76,34 @@
         """Decodes one value; returns None when it is unusable."""
 
 
+def raise_error(error: Exception, key: str) -> None:
+    """Raises an error that one item caused."""
+    error.add_note(f'while applying {key!r}')
+    raise error
+
+
 class Catalog:
     """Applies updates to the route table and the server registry."""
 
-    def __init__(self, board: boards.Board, decoder: Decoder):
+    def __init__(
+        self,
+        board: boards.Board,
+        decoder: Decoder,
+        handle_error: collections.abc.Callable[
+            [Exception, str], None
+        ] = raise_error,
+    ):
+        """Creates an empty catalog.
+
+        Args:
+            board: The state that the core's decisions share.
+            decoder: Decodes the values.
+            handle_error: Called with an unexpected error and the key of the
+                item that caused it. If it returns, the other items apply.
+        """
         self._board = board
         self._decoder = decoder
+        self._handle_error = handle_error
         self._items: dict[str, Item] = {}
         self._removed_at: dict[str, float] = {}
         self._retained_until: dict[str, float] = {}
@@ -116,19 +138,10 @@
         if since <= self.revision:
             self.revision = max(self.revision, revision)
         for item in items:
-            current = self._items.get(item.key)
-            is_new_era = current is not None and find_era(
-                current.revision
-            ) < find_era(item.revision)
-            if not self._decoder.is_relevant(item.key):
-                continue
-            if current is not None and item.revision <= current.revision:
-                continue
-            self._items[item.key] = item
-            if item.value is None:
-                self._apply_removal(item, now, changes)
-            elif not self._put(item, item.value, is_new_era, changes, now):
-                self._keep_known_state(item, current)
+            try:
+                self._apply_item(item, changes, now)
+            except Exception as error:
+                self._handle_error(error, item.key)
         return changes
 
     def replace(
@@ -197,6 +210,22 @@
         """Returns the number of items, including tombstones."""
         return len(self._items)
 
+    def _apply_item(self, item: Item, changes: list[str], now: float) -> None:
+        """Applies one item if it is relevant and newer than the known one."""
+        current = self._items.get(item.key)
+        is_new_era = current is not None and find_era(
+            current.revision
+        ) < find_era(item.revision)
+        if not self._decoder.is_relevant(item.key):
+            return
+        if current is not None and item.revision <= current.revision:
+            return
+        self._items[item.key] = item
+        if item.value is None:
+            self._apply_removal(item, now, changes)
+        elif not self._put(item, item.value, is_new_era, changes, now):
+            self._keep_known_state(item, current)
+
     def _put(
         self,
         item: Item,
--- a/packages/core/balsamshore_core/forwarding/follower.py
+++ b/packages/core/balsamshore_core/forwarding/follower.py
@@ -178,8 +178,8 @@
         self._due_at = now + self._choose_backoff(self._failures)
         self._failures += 1
 
-    def handle_oversized_changes(self, now: float) -> None:
-        """Handles changes too large to read; reads all items next."""
+    def handle_unusable_changes(self, now: float) -> None:
+        """Handles changes that are not applied; reads all items next."""
         self.handle_failure(now)
         self._history_lost = True
 
--- a/packages/node/balsamshore_node/forwarding/faults.py
+++ b/packages/node/balsamshore_node/forwarding/faults.py
@@ -1,8 +1,14 @@
-"""Unexpected errors: each is counted and logged with where it was raised."""
+"""Unexpected errors: each costs what was being worked on, and a log line.
+
+An error in the handling of one item, peer or tick is recorded and ends there;
+only one that leaves the node unable to serve, such as a socket that cannot be
+opened, ends the process.
+"""
 
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import math
 import pathlib
 import traceback
@@ -60,6 +66,16 @@
             **details,
         ).error('{}', '; '.join([f'{error!r:.200}', *notes]))
 
+    @contextlib.contextmanager
+    def confine(
+        self, place: str, **details: typing.Any
+    ) -> collections.abc.Iterator[None]:
+        """Records an error within the `with` block and continues after it."""
+        try:
+            yield
+        except Exception as error:
+            self.record(error, place, **details)
+
     def handle_loop_error(
         self, _: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
     ) -> None:
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -49,6 +49,8 @@
 LEAVING_ACCEPT_S = 3.0  # a leaving node accepts new connections this long
 KILL_MARGIN_S = 0.5  # time to stop before the platform kills a leaving node
 
+Step = collections.abc.Callable[[float], None]
+
 
 class Host:
     """One forwarding node.
@@ -117,7 +119,9 @@
             settings.retry_budget_limits.window_s,
             settings.first_start,
         )
-        self.catalog = catalogs.Catalog(self.board, decoder)
+        self.catalog = catalogs.Catalog(
+            self.board, decoder, self._record_item_error
+        )
         wait_for_peers = (
             settings.first_start and settings.host not in settings.seeds
         )
@@ -154,6 +158,7 @@
             self.now,
             self._update_record,
             self._handle_changes,
+            self._faults,
         )
         self._store_reads = storereads.StoreReads(
             self.board,
@@ -164,9 +169,11 @@
             self._updates,
             self.now,
             self._handle_changes,
+            self._faults,
         )
         self._shutdown_started_at: float | None = None
         self._stopped = anyio.Event()
+        self._steps = self._list_steps()
 
     def now(self) -> float:
         """Returns seconds that also pass while the VM is suspended."""
@@ -228,6 +235,10 @@
         """
         if not self._running:
             return
+        with self._faults.confine('datagram', peer=peer_host):
+            self._apply_payload(peer_host, payload)
+
+    def _apply_payload(self, peer_host: str, payload: gossip.Payload) -> None:
         now = self.now()
         self._reports.greet(peer_host, payload.records, now)
         cut = self.fleet.list_newly_cut_off(payload.records[:1])
@@ -253,6 +264,9 @@
             )
         self._updates.receive(peer_host, payload, now)
 
+    def _record_item_error(self, error: Exception, key: str) -> None:
+        self._faults.record(error, 'item', key=key)
+
     def _handle_changes(self, changes: list[str], source: str) -> None:
         self._requests.perform(self.exchanges.handle_ended_servers(self.now()))
         if not changes:
@@ -316,39 +330,71 @@
             await anyio.sleep(TICK_INTERVAL_S)
 
     def _tick(self, ticks: int) -> None:
+        """Does what is due; an error in one step does not cost the others."""
         now = self.now()
+        for interval, step in self._steps:
+            if ticks % interval == 0:
+                with self._faults.confine('tick', step=step.__name__):
+                    step(now)
+
+    def _list_steps(self) -> tuple[tuple[int, Step], ...]:
+        """Lists the regular work in its order, with its intervals in ticks."""
+        return (
+            (1, self._begin_tick),
+            (TICKS_PER_HEARTBEAT, self._send_heartbeats),
+            (TICKS_PER_HEARTBEAT, self._update_senders),
+            (TICKS_PER_HEARTBEAT, self._update_quarantine),
+            (TICKS_PER_HEARTBEAT, self._update_peers),
+            (TICKS_PER_HEARTBEAT, self._expire_state),
+            (TICKS_PER_SERVER_REPORT, self._reports.send_server_reports),
+            (TICKS_PER_USAGE_SAMPLE, self._measure_usage),
+            (TICKS_PER_RELOAD, self._reload_settings),
+            (1, self._report_decisions),
+            (1, self._expire_items),
+            (1, self._read_store),
+            (1, self._continue_shutdown),
+            (1, self._flush_log),
+        )
+
+    def _begin_tick(self, now: float) -> None:
         self._update_record()
         if now >= self._accept_deadline:
             self._start_accepting()
-        if ticks % TICKS_PER_HEARTBEAT == 0:
-            messages = self.fleet.tick(now)
-            for message in messages:
-                self._updates.send_message(message)
-            self._reports.repeat_notices(messages, now)
-            self._update_senders(now)
-            self.board.quarantine.set_nodes(
-                self.settings.name,
-                self.fleet.list_active_names(now),
-                self.fleet.may_lack_reports(now),
-            )
-            self._update_peers(now)
-            self.board.quarantine.expire(now)
-            self._requests.pool.close_expired()
-        if ticks % TICKS_PER_SERVER_REPORT == 0:
-            self._reports.send_server_reports(now)
-        if ticks % TICKS_PER_USAGE_SAMPLE == 0:
-            self._usage.measure(
-                now, self.board.counters['requests'], self.settings.capacity
-            )
-        if ticks % TICKS_PER_RELOAD == 0:
-            self._reload_settings()
+
+    def _send_heartbeats(self, now: float) -> None:
+        messages = self.fleet.tick(now)
+        for message in messages:
+            self._updates.send_message(message)
+        self._reports.repeat_notices(messages, now)
+
+    def _update_quarantine(self, now: float) -> None:
+        self.board.quarantine.set_nodes(
+            self.settings.name,
+            self.fleet.list_active_names(now),
+            self.fleet.may_lack_reports(now),
+        )
+
+    def _expire_state(self, now: float) -> None:
+        self.board.quarantine.expire(now)
+        self._requests.pool.close_expired()
+
+    def _measure_usage(self, now: float) -> None:
+        self._usage.measure(
+            now, self.board.counters['requests'], self.settings.capacity
+        )
+
+    def _report_decisions(self, _: float) -> None:
         self._reports.spread_quarantine()
         self._reports.log_statements()
         self._store_reads.log_new_era()
+
+    def _expire_items(self, now: float) -> None:
         self._handle_changes(self.catalog.expire(now), 'grace')
+
+    def _read_store(self, now: float) -> None:
         self._store_reads.tick(now, self._tasks)
-        if self._shutdown_started_at is not None:
-            self._continue_shutdown(now)
+
+    def _flush_log(self, _: float) -> None:
         self._log.flush()
 
     def _describe_view(self) -> dict[str, float]:
@@ -381,7 +427,7 @@
         self.board.slack_share = self.fleet.find_slack_share(now)
         self.board.limit_share = self.fleet.find_limit_share(now)
 
-    def _reload_settings(self) -> None:
+    def _reload_settings(self, _: float) -> None:
         """Applies changed seeds; other settings apply from the next start."""
         changed = self._read_settings()
         if changed is not None:
@@ -394,20 +440,26 @@
         ) as received:
             async for number in received:
                 if number == signal.SIGHUP:
-                    self._reload_settings()
+                    with self._faults.confine('reload'):
+                        self._reload_settings(self.now())
                 elif self._shutdown_started_at is None:
-                    self._shutdown_started_at = now = self.now()
-                    self._requests.begin_shutdown(
-                        now + LEAVING_ACCEPT_S,
-                        now + self.settings.grace_s - KILL_MARGIN_S,
-                    )
-                    loguru.logger.bind(event='leaving').info(
-                        f'{self._requests.count()} requests still open'
-                    )
-                    self._update_record()
+                    self._shutdown_started_at = self.now()
+                    with self._faults.confine('shutdown'):
+                        self._begin_shutdown(self._shutdown_started_at)
+
+    def _begin_shutdown(self, now: float) -> None:
+        self._requests.begin_shutdown(
+            now + LEAVING_ACCEPT_S,
+            now + self.settings.grace_s - KILL_MARGIN_S,
+        )
+        loguru.logger.bind(event='leaving').info(
+            f'{self._requests.count()} requests still open'
+        )
+        self._update_record()
 
     def _continue_shutdown(self, now: float) -> None:
-        assert self._shutdown_started_at is not None
+        if self._shutdown_started_at is None:
+            return
         elapsed_s = now - self._shutdown_started_at
         if elapsed_s >= LEAVING_ACCEPT_S:
             listening = self._front.listening
@@ -416,7 +468,8 @@
             if not (listening or self._requests.count() or self._front.in_use):
                 self._stopped.set()
         if elapsed_s >= self.settings.grace_s - KILL_MARGIN_S:
-            self._requests.perform(self.exchanges.stop(now))
+            with self._faults.confine('shutdown'):
+                self._requests.perform(self.exchanges.stop(now))
             self._stopped.set()
 
     def list_gauges(self) -> dict[str, float]:
--- a/packages/node/balsamshore_node/forwarding/storereads.py
+++ b/packages/node/balsamshore_node/forwarding/storereads.py
@@ -11,6 +11,7 @@
 from balsamshore_core.forwarding import follower as followers
 from balsamshore_node.forwarding import dialects
 from balsamshore_node.forwarding import errors
+from balsamshore_node.forwarding import faults
 from balsamshore_node.forwarding import updates
 
 
@@ -27,6 +28,7 @@
         peer_updates: updates.Updates,
         read_clock: collections.abc.Callable[[], float],
         handle_changes: collections.abc.Callable[[list[str], str], None],
+        record: faults.Faults,
     ):
         """Creates the reader.
 
@@ -40,7 +42,9 @@
             read_clock: Returns monotonic seconds.
             handle_changes: Called with what changed in the catalog and where
                 it came from.
+            record: Records unexpected errors.
         """
+        self._faults = record
         self._board = board
         self._fleet = fleet
         self._catalog = catalog
@@ -66,7 +70,7 @@
         )
         self._log_reader_change(rank, peer_checked_age_s)
         if call is not None:
-            tasks.start_soon(self._read, call)
+            tasks.start_soon(self._read_confined, call)
 
     def find_checked_age(self) -> float:
         """Returns seconds since this or another node last checked the store."""
@@ -97,6 +101,16 @@
                 revision=catalogs.find_number(self._catalog.revision),
             ).info('watches the store' if reads_store else 'listens to peers')
 
+    async def _read_confined(
+        self, call: followers.ReadAll | followers.Watch
+    ) -> None:
+        """Reads the store; after an unexpected error all items are read."""
+        try:
+            await self._read(call)
+        except Exception as error:
+            self._faults.record(error, 'store', call=str(call))
+            self._follower.handle_unusable_changes(self._read_clock())
+
     async def _read(self, call: followers.ReadAll | followers.Watch) -> None:
         self._board.counters['store_calls'] += 1
         was_ok = self._follower.store_ok
@@ -111,7 +125,7 @@
                     f'reading the store failed: {error!r}'
                 )
             if isinstance(error, errors.ResponseTooLargeError):
-                self._follower.handle_oversized_changes(self._read_clock())
+                self._follower.handle_unusable_changes(self._read_clock())
             else:
                 self._follower.handle_failure(self._read_clock())
             return
--- a/packages/node/balsamshore_node/forwarding/updates.py
+++ b/packages/node/balsamshore_node/forwarding/updates.py
@@ -14,6 +14,7 @@
 from balsamshore_core.forwarding import catalog as catalogs
 from balsamshore_core.forwarding import fleet as fleets
 from balsamshore_core.forwarding import transfers
+from balsamshore_node.forwarding import faults
 from balsamshore_node.forwarding import gossip
 from balsamshore_node.forwarding import transfers as peer_transfers
 
@@ -35,6 +36,7 @@
         read_clock: collections.abc.Callable[[], float],
         update_record: collections.abc.Callable[[], None],
         handle_changes: collections.abc.Callable[[list[str], str], None],
+        record: faults.Faults,
     ):
         """Creates the state without opening sockets.
 
@@ -48,7 +50,9 @@
             update_record: Brings this node's own record up to date.
             handle_changes: Called with what changed in the catalog and where
                 it came from.
+            record: Records unexpected errors.
         """
+        self._faults = record
         self.transfers = peer_transfers.Transfers(
             self._list_since,
             lambda: catalog.revision,
@@ -164,7 +168,7 @@
             if peer_host in self._fetch_scopes:
                 self._fetch_scopes[peer_host].cancel()
         for peer_host in self._fetches.start(revision, now):
-            self._tasks.start_soon(self._fetch_changes, peer_host)
+            self._tasks.start_soon(self._fetch_confined, peer_host)
         due = self._fetches.find_due(now)
         if self._fetch_timer is not None:
             self._fetch_timer.cancel()
@@ -174,6 +178,16 @@
                 due - now, self._start_fetches
             )
 
+    async def _fetch_confined(self, peer_host: str) -> None:
+        """Fetches changes; after an unexpected error others are asked."""
+        try:
+            await self._fetch_changes(peer_host)
+        except Exception as error:
+            self._faults.record(error, 'fetch', peer=peer_host)
+            self._fetches.fail(peer_host, self._read_clock())
+            with self._faults.confine('fetch', peer=peer_host):
+                self._start_fetches()
+
     async def _fetch_changes(self, peer_host: str) -> None:
         old_revision = self._catalog.revision
         payload = None
--- a/tests/adapter/sabotage.py
+++ b/tests/adapter/sabotage.py
@@ -5,6 +5,8 @@
 The soak test uses it to show that it detects the fault.
 """
 
+import functools
+import itertools
 import os
 import sys
 
@@ -18,11 +20,15 @@
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
+from balsamshore_node.forwarding import gossip
 from balsamshore_node.forwarding import host
 from balsamshore_node.forwarding import pending
+from balsamshore_node.forwarding import storereads
+from balsamshore_node.forwarding import updates
 from balsamshore_platform import core
 from balsamshore_platform import documents
 from balsamshore_platform import headers
+from balsamshore_platform import store
 
 
 def retry_every_request():
@@ -157,6 +163,49 @@
     routes.build_table = build_incomplete_table
 
 
+ERROR_INTERVAL = 3  # calls; each of them raises an error once in so many
+FAILING_METHODS = (
+    (catalog.Catalog, '_put'),
+    (gossip.Gossip, 'send'),
+    (host.Host, '_apply_payload'),
+    (host.Host, '_begin_shutdown'),
+    (host.Host, '_begin_tick'),
+    (host.Host, '_expire_items'),
+    (host.Host, '_expire_state'),
+    (host.Host, '_measure_usage'),
+    (host.Host, '_read_store'),
+    (host.Host, '_reload_settings'),
+    (host.Host, '_report_decisions'),
+    (host.Host, '_send_heartbeats'),
+    (host.Host, '_update_peers'),
+    (host.Host, '_update_quarantine'),
+    (host.Host, '_update_senders'),
+    (storereads.StoreReads, '_log_reader_change'),
+    (store.Store, 'watch'),
+    (updates.Updates, '_apply_payload'),
+    (updates.Updates, '_offer_holders'),
+)
+
+
+def raise_errors():
+    """Raises errors in the handling of items, peers, ticks and signals."""
+    for owner, name in FAILING_METHODS:
+        make_failing(owner, name)
+
+
+def make_failing(owner, name):
+    method = getattr(owner, name)
+    calls = itertools.count(1)
+
+    @functools.wraps(method)
+    def fail_now_and_then(*arguments, **options):
+        if next(calls) % ERROR_INTERVAL == 0:
+            raise RuntimeError(f'{name} fails on purpose')
+        return method(*arguments, **options)
+
+    setattr(owner, name, fail_now_and_then)
+
+
 def make_fingerprint_fault(find):
     """Returns a fault: fingerprints depend on what differs between repeats.
 
@@ -214,6 +263,7 @@
         f'fingerprint-{name}': make_fingerprint_fault(find)
         for name, find in FINGERPRINT_FAULTS.items()
     },
+    'errors': raise_errors,
     'limits': ignore_rate_limits,
     'departures': ignore_departures,
     'waits': ignore_waits,
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -1,6 +1,8 @@
 """Entries of another writer in the store, with the real program."""
 
 import asyncio
+import re
+import signal
 
 import pytest
 from adapter import emulator
@@ -21,6 +23,15 @@
     return 'asyncio'
 
 
+@pytest.fixture
+async def failing_platform(tmp_path):
+    program = ('-m', 'adapter.sabotage', 'errors')
+    async with test_program.start_platform(
+        tmp_path, NODES, '127.214', program
+    ) as started:
+        yield started
+
+
 @pytest.fixture
 async def platform(tmp_path):
     async with test_program.start_platform(
@@ -132,3 +143,38 @@
     await platform.put('op/config', table)
     assert set(await collect_statuses(platform)) == {200}
     assert not list_ended(platform)
+
+
+async def read_counters(platform, index):
+    page = await platform.send_http_request(
+        f'{platform.network}.2.{index}', 9464, 'GET', '/metrics'
+    )
+    return {
+        name.removeprefix('balsamshore_').removesuffix('_total'): float(value)
+        for name, value in re.findall(
+            r'^(balsamshore_\w+) (\S+)$', page.body.decode(), re.MULTILINE
+        )
+    }
+
+
+async def test_unexpected_errors_cost_what_was_worked_on_and_no_process(
+    failing_platform,
+):
+    """Every third call of the handlers that `sabotage` lists raises."""
+    platform = failing_platform
+    # An item whose handling fails is not read again until it changes.
+    for version in range(2, 6):
+        await platform.put('op/config', emulator.make_table(version))
+        for index in range(1, NODES + 1):
+            platform.send_signal(f'n{index}', signal.SIGHUP)
+        assert set(await collect_statuses(platform)) == {200}
+    assert not list_ended(platform)
+    for index in range(1, NODES + 1):
+        counters = await read_counters(platform, index)
+        assert counters['configuration_version'] >= 4
+        for place in ('item', 'tick', 'datagram'):
+            assert counters[f'errors_{place}'] > 0
+    for index in range(1, NODES + 1):
+        platform.send_signal(f'n{index}', signal.SIGTERM)
+    for process in platform.processes.values():
+        assert await asyncio.to_thread(process.wait, emulator.GRACE_S) == 0
--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -17,7 +17,7 @@
     assert isinstance(follower.tick(0, 0.0, False, 0.0), followers.ReadAll)
     follower.handle_snapshot([], 5, 0.0)
     assert isinstance(follower.tick(0, 0.0, False, 0.1), followers.Watch)
-    follower.handle_oversized_changes(0.2)
+    follower.handle_unusable_changes(0.2)
     assert follower.tick(0, 0.0, False, 0.21) is None
     now = 0.2 + 2 * followers.INITIAL_BACKOFF_S
     assert isinstance(follower.tick(0, 0.0, False, now), followers.ReadAll)
@@ -34,7 +34,7 @@
     for step in range(1000):
         if follower.tick(0, 0.0, False, step / 100) is not None:
             calls += 1
-            follower.handle_oversized_changes(step / 100)
+            follower.handle_unusable_changes(step / 100)
     assert calls <= 12
 
 
