Log an entry that cannot be read once a minute, not at each heartbeat

An odd entry that is written again each second cost two lines at every node each time: 28 unreadable lines and as many of beliefs from four writes at seven nodes; that is 750 lines a second at 450 nodes.

That a key cannot be decoded is one change of belief until it can.

Tests: 600 heartbeats of two keys cost 20 lines, 10,000 odd keys 256, 39 unreadable values of a key one change.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -109,6 +109,7 @@
         self._retained_until: dict[str, float] = {}
         self._entries: dict[str, servers.ServerEntry] = {}
         self._keys_by_address: dict[str, str] = {}
+        self._undecodable: set[str] = set()  # keys whose value is not used
         # Until when the store may show older states of a key than are known.
         self._old_states_until: dict[str, float] = {}
         self._purged_revision = 0
@@ -255,9 +256,14 @@
         self._retained_until.pop(key, None)
         if decoded is None:
             self._board.counters['unreadable_items'] += 1
-            changes.append(f'{key} cannot be decoded; its server is not used')
+            if key not in self._undecodable:
+                self._undecodable.add(key)
+                changes.append(
+                    f'{key} cannot be decoded; its server is not used'
+                )
             self._unregister(key, changes)
             return True
+        self._undecodable.discard(key)
         current = self._entries.get(key)
         if current is not None and self._is_old_state(
             decoded, current, key, is_new_era, now
@@ -320,6 +326,7 @@
         self, item: Item, now: float, changes: list[str]
     ) -> None:
         key = item.key
+        self._undecodable.discard(key)
         self._removed_at[key] = now
         if item.retained and key in self._entries:
             self._retained_until[key] = now + RETENTION_S
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -7,12 +7,14 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import loguru
 import msgpack
 import pytest
 
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
+from balsamshore_node.forwarding import logs
 from balsamshore_platform import documents
 from balsamshore_platform import headers
 from balsamshore_platform import settings
@@ -107,6 +109,40 @@
     assert entry.address == address
 
 
+def count_lines(write):
+    lines = []
+    sink = loguru.logger.add(lines.append, format='{message}')
+    try:
+        write()
+    finally:
+        loguru.logger.remove(sink)
+    return len(lines)
+
+
+def test_an_odd_entry_that_is_written_each_second_costs_a_line_a_minute():
+    clock = [0.0]
+    decoder = documents.Decoder(logs.Repetitions(lambda: clock[0]))
+
+    def write():
+        for sequence in range(600):
+            for key in ('servers/i-1', 'servers/i-2'):
+                entry = {**ENTRY, 'address': '::1:8169', 'seq': sequence}
+                decoder.decode(key, json.dumps(entry).encode())
+            clock[0] += 1.0
+
+    assert count_lines(write) == 2 * 10
+
+
+def test_many_odd_entries_cost_a_bounded_number_of_lines():
+    decoder = documents.Decoder(logs.Repetitions(lambda: 0.0))
+
+    def write():
+        for number in range(10_000):
+            decoder.decode(f'servers/i-{number}', b'odd')
+
+    assert count_lines(write) == logs.MAX_REPEATED_KEYS
+
+
 ANY_VALUE = st.recursive(
     st.none()
     | st.booleans()
--- a/tests/forwarding/test_catalog.py
+++ b/tests/forwarding/test_catalog.py
@@ -136,6 +136,20 @@
     assert names(board) == {'a', 'b'}
 
 
+def test_an_entry_that_stays_unreadable_is_one_change():
+    board, catalog = make_catalog()
+    changes = []
+    for revision in range(1, 40):
+        changes += catalog.apply(
+            [put('a', revision, 'unreadable')], revision - 1, revision, 0.0
+        )
+    assert len(changes) == 1
+    assert board.counters['unreadable_items'] == 39
+    changes = catalog.apply([put('a', 40, 'web ready 0 1')], 39, 40, 0.0)
+    changes += catalog.apply([put('a', 41, 'unreadable')], 40, 41, 0.0)
+    assert changes[1] == 'a cannot be decoded; its server is not used'
+
+
 def test_an_expired_entry_is_retained_until_it_had_time_to_return():
     board, catalog = make_catalog()
     catalog.apply(
