Check each value of a datagram from another node

Any value of a peer's datagram reached the view of the fleet as it was: a list as a name, None as a revision, infinity as an age, a host that no datagram can be sent to. Such a record stayed there for 30 s and made each heartbeat fail, which ended the process before errors of a tick were confined; int(infinity) was not among the errors that a decoder catches.

Fields of records, items, reports and notices are checked with their types and ranges when a datagram or a transfer is decoded; one that fails is refused whole, as other malformed ones are. NaN stays a rate that a server stated and nobody could read.

Failed before: a property that puts any value into any place of a full datagram and then does what a node does regularly (4 distinct errors of 600 examples; it holds now).

--- a/packages/node/balsamshore_node/forwarding/fields.py
+++ b/packages/node/balsamshore_node/forwarding/fields.py
@@ -1,10 +1,12 @@
-"""Reads fields of decoded JSON, each with its type and range.
+"""Reads fields of decoded JSON and MessagePack, each with type and range.
 
 A value from outside may have any type and size. What passes these checks fits
 into a float, a timer, a socket address and a message to other nodes.
 """
 
+import functools
 import ipaddress
+import math
 from typing import Any
 
 MAX_COUNT = 2**31 - 1
@@ -12,6 +14,8 @@
 MAX_DURATION_MS = 366 * 86_400_000
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
+MAX_ADDRESS_LENGTH = len('255.255.255.255:65535')
+CACHED_ADDRESSES = 1_024  # other nodes repeat theirs in each datagram
 NUMBER_TYPES = (int, float)
 
 
@@ -93,12 +97,50 @@
         FieldError: It is missing or is no such address.
     """
     value = read(fields, name, str)
-    host, _, port = value.rpartition(':')
-    if not (_is_host(host) and _is_port(port)):
+    if not is_address(value):
         raise FieldError(f'{name} {value!r:.80} is not IPv4:port')
     return value
 
 
+def is_text(value: Any) -> bool:
+    """Returns whether a value is text that can be printed."""
+    return isinstance(value, str) and value.isprintable()
+
+
+def is_counter(value: Any) -> bool:
+    """Returns whether a value is an integer from 0 to MAX_COUNTER."""
+    return type(value) is int and 0 <= value <= MAX_COUNTER
+
+
+def is_finite(value: Any) -> bool:
+    """Returns whether a value is a finite number."""
+    return type(value) in NUMBER_TYPES and math.isfinite(value)
+
+
+def is_flag(value: Any) -> bool:
+    """Returns whether a value is a boolean."""
+    return isinstance(value, bool)
+
+
+def is_host(value: Any) -> bool:
+    """Returns whether a value is an IPv4 address that can be connected."""
+    return (
+        isinstance(value, str)
+        and len(value) <= MAX_ADDRESS_LENGTH
+        and _is_host(value)
+    )
+
+
+def is_address(value: Any) -> bool:
+    """Returns whether a value is the `IPv4:port` of such a host."""
+    return (
+        isinstance(value, str)
+        and len(value) <= MAX_ADDRESS_LENGTH
+        and _is_address(value)
+    )
+
+
+@functools.lru_cache(CACHED_ADDRESSES)
 def _is_host(text: str) -> bool:
     try:
         address = ipaddress.IPv4Address(text)
@@ -109,6 +151,12 @@
     )
 
 
+@functools.lru_cache(CACHED_ADDRESSES)
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    return _is_host(host) and _is_port(port)
+
+
 def _is_port(text: str) -> bool:
     if not (text.isascii() and text.isdigit() and len(text) <= MAX_PORT_DIGITS):
         return False
--- a/packages/node/balsamshore_node/forwarding/gossip.py
+++ b/packages/node/balsamshore_node/forwarding/gossip.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import math
 from typing import Any
 
 import loguru
@@ -17,6 +18,7 @@
 from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import fleet
 from balsamshore_core.forwarding import suspects
+from balsamshore_node.forwarding import fields
 
 MAX_ITEMS_BYTES = 8_192  # larger changes are fetched over a stream
 FORMAT_VERSION = 2  # incremented when the layout of the payload changes
@@ -35,6 +37,31 @@
 )
 MALFORMED_LOG_INTERVAL = 1_000  # one in this many malformed datagrams is logged
 
+Check = collections.abc.Callable[[Any], bool]
+
+# In the order of the fields.
+RECORD_CHECKS: dict[str, Check] = {
+    'name': fields.is_text,
+    'host': fields.is_host,
+    'incarnation': fields.is_counter,
+    'heartbeat': fields.is_counter,
+    'state': fields.is_text,
+    'address': fields.is_address,
+    'failure_domain': fields.is_text,
+    'capacity': fields.is_finite,
+    'load': fields.is_finite,
+    'active': fields.is_flag,
+    'store_ok': fields.is_flag,
+    'revision': fields.is_counter,
+    'checked_s': fields.is_finite,
+}
+ITEM_CHECKS: dict[str, Check] = {
+    'key': fields.is_text,
+    'revision': fields.is_counter,
+    'value': lambda value: value is None or isinstance(value, bytes),
+    'retained': fields.is_flag,
+}
+
 
 class Payload:
     """Content of one datagram or transfer.
@@ -108,7 +135,7 @@
 
 def encode_payload(payload: Payload) -> bytes:
     """Encodes a payload in MessagePack."""
-    fields = (
+    common = (
         payload.records,
         payload.items,
         payload.is_snapshot,
@@ -123,7 +150,7 @@
         return msgpack.packb(
             (
                 DEPARTURES_FORMAT_VERSION,
-                *fields,
+                *common,
                 payload.notices,
                 payload.rate_reports,
                 payload.departure_reports,
@@ -133,14 +160,14 @@
         return msgpack.packb(
             (
                 RATES_FORMAT_VERSION,
-                *fields,
+                *common,
                 payload.notices,
                 payload.rate_reports,
             )
         )
     if payload.notices:
-        return msgpack.packb((NOTICES_FORMAT_VERSION, *fields, payload.notices))
-    return msgpack.packb((FORMAT_VERSION, *fields))
+        return msgpack.packb((NOTICES_FORMAT_VERSION, *common, payload.notices))
+    return msgpack.packb((FORMAT_VERSION, *common))
 
 
 def decode_payload(data: bytes) -> Payload:
@@ -171,23 +198,35 @@
         rates = rest[1] if version >= RATES_FORMAT_VERSION else {}
         departed = rest[2] if version >= DEPARTURES_FORMAT_VERSION else {}
         return Payload(
-            tuple(fleet.NodeRecord(*record) for record in records),
-            [catalog.Item(*item) for item in items],
-            is_snapshot,
-            since,
-            revision,
-            slowness_reports,
-            tuple(map(fleet.Heartbeat, heartbeats[::2], heartbeats[1::2])),
-            tuple(requested_keys),
-            relay,
+            tuple(
+                _check(fleet.NodeRecord(*record), RECORD_CHECKS)
+                for record in records
+            ),
+            [_check(catalog.Item(*item), ITEM_CHECKS) for item in items],
+            bool(is_snapshot),
+            _read_counter(since),
+            _read_counter(revision),
+            {
+                _read_text(server_id): _read_finite(slowness)
+                for server_id, slowness in slowness_reports.items()
+            },
+            tuple(
+                map(
+                    fleet.Heartbeat,
+                    _check_counters(heartbeats)[::2],
+                    heartbeats[1::2],
+                )
+            ),
+            tuple(_check_counters(requested_keys)),
+            bool(relay),
             [_read_notice(*notice) for notice in notices],
             {
-                str(server_id): _read_rate_report(*report)
+                _read_text(server_id): _read_rate_report(*report)
                 for server_id, report in rates.items()
             },
             {
-                str(server_id): departures.DepartureReport(
-                    int(born_ms), float(age_s)
+                _read_text(server_id): departures.DepartureReport(
+                    _read_counter(born_ms), _read_finite(age_s)
                 )
                 for server_id, (born_ms, age_s) in departed.items()
             },
@@ -195,6 +234,7 @@
     except (
         AttributeError,
         IndexError,
+        OverflowError,
         TypeError,
         ValueError,
         msgpack.UnpackException,
@@ -202,6 +242,43 @@
         raise ValueError(f'invalid gossip payload: {error}') from error
 
 
+def _check(values: Any, checks: dict[str, Check]) -> Any:
+    """Returns a tuple, each of whose values passes its check."""
+    for (name, is_valid), value in zip(checks.items(), values, strict=True):
+        if not is_valid(value):
+            raise ValueError(f'{name} is {value!r:.80}')
+    return values
+
+
+def _read_counter(value: Any) -> int:
+    if not fields.is_counter(value):
+        raise ValueError(f'{value!r:.80} is not a counter')
+    return value
+
+
+def _check_counters(values: list[Any]) -> list[int]:
+    """Checks many at once, as datagrams are mostly heartbeats."""
+    if values and not (
+        set(map(type, values)) == {int}
+        and min(values) >= 0
+        and max(values) <= fields.MAX_COUNTER
+    ):
+        raise ValueError(f'{values!r:.80} are not counters')
+    return values
+
+
+def _read_finite(value: Any) -> float:
+    if not fields.is_finite(value):
+        raise ValueError(f'{value!r:.80} is not a finite number')
+    return float(value)
+
+
+def _read_text(value: Any) -> str:
+    if not fields.is_text(value):
+        raise ValueError(f'{value!r:.80} is not text')
+    return value
+
+
 def _read_notice(
     fingerprint: str,
     crashes: collections.abc.Iterable[tuple[str, int, float, bool]],
@@ -210,22 +287,30 @@
     cleared_s: float,
 ) -> suspects.Notice:
     return suspects.Notice(
-        str(fingerprint),
+        _read_text(fingerprint),
         tuple(
-            (str(server_id), int(born_ms), float(age_s), bool(alone))
+            (
+                _read_text(server_id),
+                _read_counter(born_ms),
+                _read_finite(age_s),
+                bool(alone),
+            )
             for server_id, born_ms, age_s, alone in crashes
         ),
-        int(stops),
-        float(stopped_s),
-        float(cleared_s),
+        _read_counter(stops),
+        _read_finite(stopped_s),
+        _read_finite(cleared_s),
     )
 
 
 def _read_rate_report(
     born_ms: int, rate: float | None, age_s: float
 ) -> ratelimits.RateReport:
+    """Reads a report; an unreadable rate is NaN."""
+    if rate is not None and not (isinstance(rate, float) and math.isnan(rate)):
+        rate = _read_finite(rate)
     return ratelimits.RateReport(
-        int(born_ms), None if rate is None else float(rate), float(age_s)
+        _read_counter(born_ms), rate, _read_finite(age_s)
     )
 
 
--- a/tests/forwarding/test_gossip.py
+++ b/tests/forwarding/test_gossip.py
@@ -1,9 +1,13 @@
 """Tests of the encoding of payloads between nodes."""
 
+import math
+
 import hypothesis
 import hypothesis.strategies as st
 import msgpack
 import pytest
+from forwarding import test_catalog
+from forwarding import test_host
 
 from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import catalog
@@ -12,6 +16,7 @@
 from balsamshore_core.forwarding import quarantine
 from balsamshore_core.forwarding import suspects
 from balsamshore_node.forwarding import gossip
+from balsamshore_node.forwarding import host
 from balsamshore_node.forwarding import reports as reports_sender
 
 RECORD = fleet.NodeRecord(
@@ -136,3 +141,98 @@
 def test_other_bytes_are_not_news(payload):
     with pytest.raises(ValueError, match='invalid gossip payload'):
         gossip.decode_payload(payload)
+
+
+# What a peer of another version, or a damaged one, may send
+
+
+FULL = gossip.Payload(
+    (RECORD, RECORD._replace(name='n2', host='127.0.0.2')),
+    [catalog.Item('k', 3, None), catalog.Item('r', 4, None, True)],
+    since=2,
+    revision=9,
+    slowness_reports={'i-1': 8.0},
+    heartbeats=(fleet.Heartbeat(3, 7),),
+    requested_keys=(3,),
+    relay=True,
+    notices=[NOTICE],
+    rate_reports={'i-1': ratelimits.RateReport(2**41, 9.5, 0.25)},
+    departure_reports={'i-1': departures.DepartureReport(2**41, 0.125)},
+)
+ODD_VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.sampled_from([0, -1, 2**40, 2**63 - 1, 2**64 - 1, -(2**63)]),
+    st.sampled_from([math.inf, -math.inf, math.nan, 1e308, -0.5]),
+    st.sampled_from(['', 'x', '127.0.0.1', 'i-1', '1\r\n2', '\u0661']),
+    st.binary(max_size=3),
+    st.lists(st.integers(0, 3), max_size=3),
+    st.dictionaries(st.sampled_from(['i-1', 3]), st.integers(), max_size=2),
+)
+
+
+def list_places(value, path=()):
+    """Lists the paths to all values within lists and dictionaries."""
+    yield path
+    children = []
+    if isinstance(value, list):
+        children = enumerate(value)
+    elif isinstance(value, dict):
+        children = value.items()
+    for key, child in children:
+        yield from list_places(child, (*path, key))
+
+
+def replace_at(value, path, other):
+    if not path:
+        return other
+    copy = value.copy()
+    copy[path[0]] = replace_at(copy[path[0]], path[1:], other)
+    return copy
+
+
+FULL_FIELDS = msgpack.unpackb(gossip.encode_payload(FULL))
+PLACES = [path for path in list_places(FULL_FIELDS) if path]
+
+
+def handle_as_node(payload):
+    """Handles a payload as a node does, and what follows regularly."""
+    node = host.Host(
+        test_host.SETTINGS, None, test_catalog.Decoder(), None, (),
+        lambda: None, {},
+    )  # fmt: skip
+    node._updates._start_fetches = lambda: None
+    server = test_catalog.Decoder().decode('i-1', b'web ready 2199023255552 1')
+    node.board.registry.put(server, node.now())
+    for _ in range(2):
+        node._apply_payload('127.0.0.1', payload)
+        for step in (
+            node._send_heartbeats,
+            node._update_senders,
+            node._update_quarantine,
+            node._update_peers,
+            node._reports.send_server_reports,
+            node._report_decisions,
+            node._expire_items,
+        ):
+            step(node.now())
+    node.choose_addresses('a')
+    node.fleet.list_alive(node.now())
+
+
+@hypothesis.settings(max_examples=600, deadline=None, derandomize=True)
+@hypothesis.given(st.sampled_from(PLACES), ODD_VALUES)
+def test_any_value_in_a_datagram_is_refused_or_handled(path, value):
+    try:
+        data = msgpack.packb(replace_at(FULL_FIELDS, path, value))
+    except OverflowError:
+        hypothesis.reject()
+    try:
+        payload = gossip.decode_payload(data)
+    except ValueError:
+        return
+    handle_as_node(payload)
+
+
+def test_the_datagram_without_an_odd_value_is_handled():
+    handle_as_node(gossip.decode_payload(msgpack.packb(FULL_FIELDS)))
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -10,7 +10,16 @@
 from balsamshore_node.forwarding import settings
 
 SETTINGS = settings.Settings(
-    'n0', 'h0', 'a', 'h0:1', 7000, 7001, (), 1.0, worlds.LIMITS, 6.0
+    'n0',
+    '127.0.0.9',
+    'a',
+    '127.0.0.9:1',
+    7000,
+    7001,
+    (),
+    1.0,
+    worlds.LIMITS,
+    6.0,
 )
 
 
@@ -74,6 +83,7 @@
 
 def test_a_node_is_no_source_for_itself(monkeypatch):
     node = make_host(monkeypatch)
-    payload = gossip.Payload((make_record(0, 'a', 40),), revision=0)
+    own_record = make_record(0, 'a', 40)._replace(host=SETTINGS.host)
+    payload = gossip.Payload((own_record,), revision=0)
     node._updates._offer_holders('h1', payload, 0.0)
     assert node._updates._fetches.find_due(9.0) is None
