Hand on the configuration in force when a newer one cannot be decoded

A configuration that cannot be decoded left the former one in force on the nodes that had it, but took its place in what they hand on, so a node that started then got none and refused all requests.

The known document stays, under the revision of the one that cannot be read, as with entries of an older copy. A node that reads the store before it hears from a peer still has none until the next version.

Also shown, without a fault: callers that send infinity or 3,000 digits as a duration get their answers (4 cases on real processes).

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -109,6 +109,7 @@
         self._retained_until: dict[str, float] = {}
         self._entries: dict[str, servers.ServerEntry] = {}
         self._keys_by_address: dict[str, str] = {}
+        self._table_key: str | None = None
         self._undecodable: set[str] = set()  # keys whose value is not used
         # Until when the store may show older states of a key than are known.
         self._old_states_until: dict[str, float] = {}
@@ -239,6 +240,8 @@
         key = item.key
         decoded = self._decoder.decode(key, value)
         if isinstance(decoded, routes.RouteTable):
+            self._table_key = key
+            self._undecodable.discard(key)
             return self._put_table(decoded, changes)
         known = self._entries.get(key)
         if (
@@ -258,11 +261,10 @@
             self._board.counters['unreadable_items'] += 1
             if key not in self._undecodable:
                 self._undecodable.add(key)
-                changes.append(
-                    f'{key} cannot be decoded; its server is not used'
-                )
+                changes.append(f'{key} cannot be decoded; it is not used')
             self._unregister(key, changes)
-            return True
+            # Nodes that join get the configuration that is in force.
+            return key != self._table_key
         self._undecodable.discard(key)
         current = self._entries.get(key)
         if current is not None and self._is_old_state(
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -145,6 +145,21 @@
     assert not list_ended(platform)
 
 
+@pytest.mark.parametrize('header', ['Deadline-Ms', 'Balsamshore-Relayed-Ms'])
+@pytest.mark.parametrize('value', ['inf', '9' * 3000])
+async def test_a_caller_with_an_odd_duration_gets_an_answer(
+    platform, header, value
+):
+    for target in ('/q/x', '/n/x'):
+        answer = await platform.send_http_request(
+            f'{platform.network}.2.1', 8226, 'GET', target, b'',
+            {'Host': emulator.HOST, 'Request-Id': 'odd', header: value},
+        )  # fmt: skip
+        assert answer.status == 200
+    assert not list_ended(platform)
+    assert 'errors_callback' not in await read_counters(platform, 1)
+
+
 async def read_counters(platform, index):
     page = await platform.send_http_request(
         f'{platform.network}.2.{index}', 9464, 'GET', '/metrics'
--- a/tests/forwarding/test_catalog.py
+++ b/tests/forwarding/test_catalog.py
@@ -21,10 +21,10 @@
 
     def decode(self, key, value):
         text = value.decode()
-        if key == 'configuration':
-            return routes.build_table(int(text), (), (), routes.CallerLimits())
         if text == 'unreadable':
             return None
+        if key == 'configuration':
+            return routes.build_table(int(text), (), (), routes.CallerLimits())
         service, state, born, sequence = text.split()
         return servers.ServerEntry(
             key,
@@ -147,7 +147,7 @@
     assert board.counters['unreadable_items'] == 39
     changes = catalog.apply([put('a', 40, 'web ready 0 1')], 39, 40, 0.0)
     changes += catalog.apply([put('a', 41, 'unreadable')], 40, 41, 0.0)
-    assert changes[1] == 'a cannot be decoded; its server is not used'
+    assert changes[1] == 'a cannot be decoded; it is not used'
 
 
 def test_an_expired_entry_is_retained_until_it_had_time_to_return():
@@ -192,6 +192,18 @@
     assert board.table.version == 7
 
 
+def test_a_node_that_joins_gets_the_last_configuration_that_can_be_decoded():
+    board, catalog = make_catalog()
+    catalog.apply([put('configuration', 5, '7')], 0, 5, 0.0)
+    catalog.apply([put('configuration', 6, 'unreadable')], 5, 6, 0.0)
+    assert board.table.version == 7
+    joined, copy = make_catalog()
+    copy.replace(catalog.list_since(0)[1], catalog.revision, False, 1.0)
+    assert joined.table.version == 7
+    catalog.apply([put('configuration', 7, '8')], 6, 7, 2.0)
+    assert board.table.version == 8
+
+
 OPERATIONS = st.lists(
     st.tuples(
         st.sampled_from('abcd'),
