--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -372,6 +372,30 @@
     assert file.read_changed() is None
 
 
+@hypothesis.settings(
+    max_examples=300,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+@hypothesis.given(
+    st.sampled_from(sorted(json.loads(fill_template()))), ANY_VALUE
+)
+def test_any_value_of_a_setting_is_read_or_named_in_the_error(
+    tmp_path, name, value
+):
+    path = tmp_path / 'settings.json'
+    path.write_text(json.dumps({**json.loads(fill_template()), name: value}))
+    file = settings.SettingsFile({'BALSAMSHORE_CONFIG': str(path)})
+    try:
+        read = file.read()
+    except settings.SettingsError as error:
+        assert name in str(error)
+    else:
+        assert math.isfinite(read.host.capacity)
+        assert 0 < read.host.gossip_port < 65_536
+
+
 PLATFORM_NAMES = re.compile(
     r'Server-Seal|Part-Seals|Missing-Parts|Not-Executed|Target-Instance'
     r'|(?<![a-z-])Deadline-Ms|goalMs|timeoutMs|minCoverage|maxAttempts|maxConns|topK'
