Keep the rate that a server states while its entry is odd or gone

Another writer's entry under the id of a server, or an entry that lapsed, made a new record of that server when its true entry came back, without the rate of requests that it had stated: all nodes sent as if it had none.

The registry remembers the rate with the time until which a server wants no request, by incarnation. A new incarnation is not affected.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -28,7 +28,7 @@
 TOMBSTONE_S = 30.0  # how long removals are kept for peers
 # Within this time of the store's return its servers have written their entries
 # again, and so possibly older states of them.
-OLD_STATES_S = 30.0
+OLD_STATES_S = 5.0
 
 
 def make_revision(era: int, number: int) -> int:
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -31,7 +31,7 @@
 JITTER = 0.1  # so that nodes with equal observations choose differently
 OVERDUE_COST = 20.0
 EJECTION_COST = 50.0
-MAX_REMEMBERED = 256  # removed servers that want no requests
+MAX_REMEMBERED = 256  # removed servers that want no requests, or few
 SUSPECT_COST = 20.0  # of a request that may crash the server
 
 
@@ -295,6 +295,18 @@
         return 1.0 + (self.slowness - 1.0) * 0.5 ** (age / HALF_LIFE_S)
 
 
+class Statements(NamedTuple):
+    """What an incarnation of a server said of itself.
+
+    Attributes:
+        closed_until: Until when it wants no request from this node.
+        limit: The rate of requests that it states, or None.
+    """
+
+    closed_until: float = 0.0
+    limit: ratelimits.RateLimit | None = None
+
+
 class Registry:
     """Usable servers by service.
 
@@ -305,9 +317,9 @@
     def __init__(self):
         self.by_service: dict[str, dict[str, Server]] = {}
         self._service_of: dict[str, str] = {}
-        self._closed_until: collections.OrderedDict[tuple[str, int], float] = (
-            collections.OrderedDict()
-        )
+        self._statements: collections.OrderedDict[
+            tuple[str, int], Statements
+        ] = collections.OrderedDict()
 
     def find(self, server_id: str) -> Server | None:
         """Returns a usable server, or None."""
@@ -350,7 +362,8 @@
             return
         servers = self.by_service.setdefault(entry.service, {})
         server = servers[entry.server_id] = Server(entry, now)
-        server.closed_until = self._closed_until.pop(entry.incarnation, 0.0)
+        stated = self._statements.pop(entry.incarnation, Statements())
+        server.closed_until, server.limit = stated
         self._service_of[entry.server_id] = entry.service
 
     def remove(self, server_id: str) -> None:
@@ -367,11 +380,12 @@
             server.forgive()
 
     def _remember(self, server: Server) -> None:
-        if server.closed_until:
-            incarnation = server.entry.incarnation
-            self._closed_until[incarnation] = server.closed_until
-            if len(self._closed_until) > MAX_REMEMBERED:
-                self._closed_until.popitem(last=False)
+        if server.closed_until or server.limit is not None:
+            self._statements[server.entry.incarnation] = Statements(
+                server.closed_until, server.limit
+            )
+            if len(self._statements) > MAX_REMEMBERED:
+                self._statements.popitem(last=False)
 
 
 def choose_server(
--- a/tests/forwarding/test_ratelimits.py
+++ b/tests/forwarding/test_ratelimits.py
@@ -376,3 +376,32 @@
     for number in asked:
         received = world.answers[number]
         assert received.took_s < 0.2 or received.answer.outcome == 'complete'
+
+
+OTHER_SERVICE = ENTRY._replace(service='other', born_ms=10**12)
+
+
+@pytest.mark.parametrize(
+    'meanwhile',
+    [
+        lambda registry: registry.remove('s'),
+        lambda registry: registry.put(ENTRY._replace(draining=True), 1.0),
+        lambda registry: registry.put(ENTRY._replace(address='h:9'), 1.0),
+        lambda registry: registry.put(OTHER_SERVICE, 1.0),
+    ],
+)
+def test_a_stated_rate_holds_when_the_entry_of_its_server_returns(meanwhile):
+    registry = servers.Registry()
+    registry.put(ENTRY, 0.0)
+    registry.find('s').record_rate_limit(4.0, 0.0, 0.0)
+    meanwhile(registry)
+    registry.put(ENTRY, 2.0)
+    assert registry.find('s').limit.find_rate(2.0) == 4.0
+
+
+def test_a_stated_rate_does_not_hold_for_the_next_incarnation():
+    registry = servers.Registry()
+    registry.put(ENTRY, 0.0)
+    registry.find('s').record_rate_limit(4.0, 0.0, 0.0)
+    registry.put(ENTRY._replace(born_ms=8), 1.0)
+    assert registry.find('s').limit is None
