Play odd entries in the soak and each odd value on real processes

Tests decoded the word 'unreadable' and the soak had no other writer, so neither saw what a single number did; and the soak started a node again that had ended by itself without a word.

The soak writes odd entries, under an id of their own or of a server that writes its true one within a heartbeat, and counts a process that ends by itself as a violation.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -11,6 +11,8 @@
 Callers connect from several addresses, each time from another one.
 Servers say that they leave, until they start again, or ask for no requests.
 Nodes are cut off from all servers in three manners, up to all of them at once.
+Another writer leaves odd entries in the store, also under the id of a server,
+which writes its true one at its next heartbeat. No node may end by itself.
 Configurations, some of them large, travel between nodes over links that become
 slow or stand still.
 The test checks what callers and servers observed against the program's
@@ -37,6 +39,7 @@
 from adapter import endless
 from adapter import ledgers
 from adapter import links
+from adapter import oddvalues
 from adapter import sabotage
 from adapter import stalls
 
@@ -55,6 +58,9 @@
 MEAN_CUT_PAUSE_S = 2.0  # between cuts of nodes from all servers
 MEAN_CUT_S = 1.5
 CUTS = cutoffs.MANNERS
+ODD_KEY = 'servers/i-odd'
+MEAN_ODD_PAUSE_S = 0.4  # between odd entries
+HEARTBEAT_S = 1.2  # of a server, until it writes its entry again
 MIN_STALL_S = 0.15  # of all servers; half of the goal of /q/x
 MAX_PROBES = 5  # of a node, while all servers stand still
 DEADLINE_MS = 2000  # of each caller
@@ -182,6 +188,7 @@
         self.statement_rng = random.Random(seed)
         self.restarts = []
         self.cut_rng = random.Random(seed)
+        self.odd_rng = random.Random(seed)
 
     async def run(self, seconds):
         platform = self.platform
@@ -213,9 +220,13 @@
                 for number in range(2)
             ]
             callers.append(asyncio.create_task(Crasher(self).run()))
-            cutting = asyncio.create_task(self.cut_nodes_off())
+            disturbing = [
+                asyncio.create_task(self.cut_nodes_off()),
+                asyncio.create_task(self.write_odd_entries()),
+            ]
             await self.inject_faults(seconds)
-            cutting.cancel()
+            for task in disturbing:
+                task.cancel()
             await self.recover()
             self.ended = True
             await asyncio.wait(callers, timeout=5.0)
@@ -260,6 +271,20 @@
             await asyncio.sleep(MEAN_CUT_S * self.cut_rng.random() * 2)
             cutoffs.write(self.platform, ())
 
+    async def write_odd_entries(self):
+        """Writes odd entries under an id of their own or of a server."""
+        while True:
+            await asyncio.sleep(MEAN_ODD_PAUSE_S * self.odd_rng.random() * 2)
+            server_id = self.odd_rng.choice(sorted(self.platform.servers))
+            entry = self.platform.servers[server_id]
+            odd = oddvalues.choose(self.odd_rng, entry)
+            if self.odd_rng.random() < 0.7:
+                await self.platform.put(ODD_KEY, odd)
+                continue
+            await self.platform.put(f'servers/{server_id}', odd)
+            await asyncio.sleep(HEARTBEAT_S * self.odd_rng.random())
+            await self.platform.report_server(server_id)
+
     async def fail_server(self):
         name = self.rng.choice(sorted(self.platform.server_modes))
         self.platform.server_modes[name] = self.rng.choice(SERVER_MODES)
@@ -375,6 +400,7 @@
         self.record_signal(index)
         self.platform.send_signal(name, signal_number)
         if self.platform.processes[name].poll() is not None:
+            self.check_process(index)
             self.platform.send_signal(name, signal.SIGCONT)
             self.platform.start_node(name, index)
 
@@ -391,6 +417,9 @@
         for name in sorted(platform.leaving_servers):
             await platform.crash_server(name)
         await asyncio.gather(*self.restarts)
+        await platform.remove(ODD_KEY)
+        for server_id in platform.servers:
+            await platform.report_server(server_id)
         self.proxy.apply(proxy.Rule())
         self.links.limits = {}
         self.links.frozen = set()
@@ -402,10 +431,12 @@
         for _ in range(round(RECOVERY_S / 0.2)):
             for index in range(1, self.nodes + 1):
                 if platform.processes[f'n{index}'].poll() is not None:
+                    self.check_process(index)
                     self.record_signal(index)
                     platform.start_node(f'n{index}', index)
             await asyncio.sleep(0.2)
         for index in range(1, self.nodes + 1):
+            self.check_process(index)
             await self.check_recovery(index)
             self.check_versions(index)
             await self.check_routes(index)
@@ -454,6 +485,14 @@
                     f'node {index} answers {response.status} on {name}'
                 )
 
+    def check_process(self, index):
+        """Checks that a node has not ended by itself."""
+        status = self.platform.processes[f'n{index}'].poll()
+        if status is not None and status > 0:
+            self.violations.append(
+                f'node {index} ended by itself with status {status}'
+            )
+
     def record_signal(self, index):
         self.signals.append((index, asyncio.get_running_loop().time()))
 
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -6,16 +6,19 @@
 
 import pytest
 from adapter import emulator
+from adapter import oddvalues
 from adapter import test_program
 
 pytestmark = pytest.mark.anyio
 
 NODES = 3
-LARGE = 10**400  # no float holds it
+LARGE = oddvalues.LARGE
 LATER_MS = 10**9  # of the start that another writer claims for a server
 ODD_ADDRESS = '127.0.0.9:9'
 SETTLE_S = 1.5  # until all nodes know of a change
 LOOK_S = 0.1
+ODD_PAUSE_S = 0.02
+ODD_KEYS = 7
 
 
 @pytest.fixture
@@ -79,6 +82,22 @@
     assert set(statuses) == {200}
 
 
+async def test_no_odd_entry_ends_a_process_or_harms_another_server(platform):
+    odd_values = oddvalues.list_all(claim(platform, 'a0', address=ODD_ADDRESS))
+    seconds = len(odd_values) * ODD_PAUSE_S
+    asking = asyncio.create_task(collect_statuses(platform, seconds))
+    for number, odd in enumerate(odd_values):
+        await platform.put(f'servers/i-odd{number % ODD_KEYS}', odd)
+        await asyncio.sleep(ODD_PAUSE_S)
+    assert set(await asking) == {200}
+    assert not list_ended(platform)
+    # Each node follows the store still.
+    await platform.put('op/config', emulator.make_table(2, extra=('new',)))
+    await asyncio.sleep(SETTLE_S)
+    statuses = await collect_statuses(platform, LOOK_S, '/new/x')
+    assert set(statuses) == {200}
+
+
 async def test_an_entry_with_a_number_too_large_ends_no_process(platform):
     value = claim(
         platform, 'a0', address=ODD_ADDRESS, warmupLeftMs=LARGE, slots=LARGE
