Hold no entry larger than a server's can be

An entry of a server over 8 KiB (a true one has about 300 bytes) is one without content, which names no server; it is neither held nor sent to other nodes.

Two tests hold it, at the store and at the decoder.

--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -109,6 +109,12 @@
     assert entry.address == address
 
 
+def test_an_entry_too_large_is_refused():
+    padding = 'x' * documents.MAX_ENTRY_BYTES
+    assert decode('servers/i-1', {**ENTRY, 'unknown': padding}) is None
+    assert decode('servers/i-1', {**ENTRY, 'unknown': padding[:7_000]})
+
+
 def count_lines(write):
     lines = []
     sink = loguru.logger.add(lines.append, format='{message}')
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,10 +1,13 @@
 """The client of the store, read while its contents change."""
 
+import base64
+
 import pytest
 from adapter import emulator
 
 from balsamshore_core.forwarding import catalog
 from balsamshore_node.forwarding import errors
+from balsamshore_platform import documents
 from balsamshore_platform import store
 
 pytestmark = pytest.mark.anyio
@@ -233,6 +236,15 @@
         assert not reply.malformed
 
 
+async def test_an_entry_too_large_is_not_held(odd_store):
+    platform, client = odd_store
+    text = base64.b64encode(bytes(documents.MAX_ENTRY_BYTES + 1)).decode()
+    platform.item = {'key': 'servers/x', 'value': text, 'revision': 3}
+    for reply in (await client.read_all(), await client.watch(1, 0.05)):
+        (odd, *_) = (item for item in reply.items if item.key == 'servers/x')
+        assert odd.value == b''
+
+
 @pytest.mark.parametrize('as_of', [None, '9', True, -1, 2**70, 1e999])
 async def test_a_page_without_a_revision_is_an_error(
     odd_store, monkeypatch, as_of
