Start a read of the store before anything else can fail

An error between the decision to read the store and the start of the read left the follower in the state 'reading', in which it decides nothing: this node did not read the store again until it ended.

The task is started first; the log line comes after it.

--- a/packages/node/balsamshore_node/forwarding/storereads.py
+++ b/packages/node/balsamshore_node/forwarding/storereads.py
@@ -68,9 +68,9 @@
             self._fleet.has_peer_store_failure(now),
             now,
         )
-        self._log_reader_change(rank, peer_checked_age_s)
         if call is not None:
             tasks.start_soon(self._read_confined, call)
+        self._log_reader_change(rank, peer_checked_age_s)
 
     def find_checked_age(self) -> float:
         """Returns seconds since this or another node last checked the store."""
