Let a claim from before a return of the store end with it

Another writer's entry with a later start under a server's id held for 30 s after the store came back from a copy of before it, as each older state of that time was ignored. Found by the review of the odd entry.

Older states are ignored for 2.2 s, in which what the store lost is back.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -24,11 +24,10 @@
 ERA_SHIFT = 40  # bits of a revision within its era
 MAX_NUMBER = (1 << ERA_SHIFT) - 1  # largest revision of the store
 MAX_ERA = 1 << 20
-RETENTION_S = 2.2  # expired entries return within 2 s after an outage
+# Expired entries return within 2 s after an outage, and what the store lost is
+# written again, possibly older states of it first.
+RETENTION_S = 2.2
 TOMBSTONE_S = 30.0  # how long removals are kept for peers
-# Within this time of the store's return its servers have written their entries
-# again, and so possibly older states of them.
-OLD_STATES_S = 5.0
 
 
 def make_revision(era: int, number: int) -> int:
@@ -303,7 +302,7 @@
             self._old_states_until.pop(key, None)
             return False
         if is_new_era:
-            self._old_states_until[key] = now + OLD_STATES_S
+            self._old_states_until[key] = now + RETENTION_S
         return now < self._old_states_until.get(key, now)
 
     def _keep_known_state(self, item: Item, known: Item | None) -> None:
--- a/tests/forwarding/test_eras.py
+++ b/tests/forwarding/test_eras.py
@@ -415,3 +415,18 @@
     mutation(monkeypatch)
     with pytest.raises(AssertionError):
         MUTATIONS[mutation]()
+
+
+def test_a_claim_from_before_a_return_is_over_with_the_next_heartbeats():
+    world = World()
+    world.store.write('a', ready(1))
+    world.run(1.0)
+    copy = world.store.copy()
+    world.store.write('a', f'other ready {10**9} 7')
+    world.run(1.0)
+    world.store.restore(copy)
+    for sequence in range(2, 7):
+        world.store.write('a', ready(sequence))
+        world.run(1.0)
+    for node in world.nodes:
+        assert set(node.board.registry.by_service) == {'web'}
