Take an address from a server once, not at each heartbeat of another entry

Only an entry that newly has the address, or a new start of its server, ends the one that had it before. The first such claim of another writer still does.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -277,7 +277,11 @@
                 f'{decoded.server_id} of {decoded.service} started again'
             )
         self._entries[key] = decoded
-        self._take_address(item, decoded)
+        if current is None or (current.address, current.born_ms) != (
+            decoded.address,
+            decoded.born_ms,
+        ):
+            self._take_address(item, decoded)
         self._board.registry.put(decoded, now)
         if current is None or current.draining != decoded.draining:
             state = 'draining' if decoded.draining else 'ready'
