Use no entry with the host of a node

Nothing of the system runs where servers do, so an entry with the host of a live node names no server; it is used again if the node is gone.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -361,6 +361,7 @@
         entry = self._entries.get(key)
         if entry is None:
             return
-        if self._board.registry.find(entry.server_id) is not None:
-            self._board.registry.remove(entry.server_id)
+        used = self._board.registry.find(entry.server_id) is not None
+        self._board.registry.remove(entry.server_id)
+        if used:
             changes.append(f'{entry.server_id} of {entry.service} was removed')
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -316,6 +316,9 @@
 
     def __init__(self):
         self.by_service: dict[str, dict[str, Server]] = {}
+        self._node_hosts: frozenset[str] = frozenset()
+        # Entries with the host of a node, which are not used.
+        self._misplaced: dict[str, ServerEntry] = {}
         self._service_of: dict[str, str] = {}
         self._statements: collections.OrderedDict[
             tuple[str, int], Statements
@@ -345,8 +348,33 @@
         for servers in self.by_service.values():
             yield from servers.values()
 
+    def set_node_hosts(
+        self, hosts: collections.abc.Set[str], now: float
+    ) -> None:
+        """Sets the hosts of nodes; no server runs on any of them.
+
+        A request to such an address would come back as one of a caller.
+        """
+        if hosts == self._node_hosts:
+            return
+        self._node_hosts = frozenset(hosts)
+        entries = [server.entry for server in self.list_servers()]
+        for entry in (*entries, *self._misplaced.values()):
+            if self._is_misplaced(entry) != (
+                entry.server_id in self._misplaced
+            ):
+                self.put(entry, now)
+
+    def _is_misplaced(self, entry: ServerEntry) -> bool:
+        return entry.address.rpartition(':')[0] in self._node_hosts
+
     def put(self, entry: ServerEntry, now: float) -> None:
         """Adds or updates a server; removes a draining server."""
+        if self._is_misplaced(entry):
+            self.remove(entry.server_id)
+            self._misplaced[entry.server_id] = entry
+            return
+        self._misplaced.pop(entry.server_id, None)
         server = self.find(entry.server_id)
         if server is not None:
             same = (
@@ -368,6 +396,7 @@
 
     def remove(self, server_id: str) -> None:
         """Removes a server; its running attempts continue."""
+        self._misplaced.pop(server_id, None)
         service = self._service_of.pop(server_id, None)
         if service is not None:
             self._remember(self.by_service[service].pop(server_id))
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -345,6 +345,7 @@
             (TICKS_PER_HEARTBEAT, self._update_senders),
             (TICKS_PER_HEARTBEAT, self._update_quarantine),
             (TICKS_PER_HEARTBEAT, self._update_peers),
+            (TICKS_PER_HEARTBEAT, self._update_node_hosts),
             (TICKS_PER_HEARTBEAT, self._expire_state),
             (TICKS_PER_SERVER_REPORT, self._reports.send_server_reports),
             (TICKS_PER_USAGE_SAMPLE, self._measure_usage),
@@ -414,6 +415,11 @@
             )
         )
 
+    def _update_node_hosts(self, now: float) -> None:
+        hosts = {record.host for record in self.fleet.list_alive(now)}
+        hosts.add(self.settings.host)
+        self.board.registry.set_node_hosts(hosts, now)
+
     def _update_senders(self, now: float) -> None:
         senders = self.fleet.count_senders()
         if senders != self.board.senders:
