Tell callers that nothing has run only if that is known

What callers saw: a replica that ran a request which must not be repeated and failed it with 503 (also 408, 429), without stating that it did not run it, was passed on as it was. Worse, on a node without links to servers: it took another node's status for what is known and sent the request to a second node, where it ran again without any repeat by its caller.

Cause: what is known of a request and what a status says were one thing in three places. answers.build passed a server's last failure on whatever its status; Reply.failed did not count an unstated 408 or 429, so it was a complete answer; read_relayed_answer judged another node's answer by its status.

Change: one table in the core (forwarding/knowledge.py), by what is known (not run, has run, unknown) and whether the reply's status promises that nothing has run. Such a status goes out only for 'not run'; otherwise the caller gets 502 (504 in time-outs) without anything of the reply, its seal included. An unstated promise of a server is a failure: repeated where that is allowed, within the budget.

Why it works: the promise is made in one place, from knowledge that each reply carries, and the property tests draw any replies, losses and answers of nodes.

Own interface: only 503 with x-not-run counts as not run and nodes send each other the outcome; a test holds that.

worlds.py sets the new field as the adapter does; no check was changed.

--- a/packages/core/balsamshore_core/forwarding/actions.py
+++ b/packages/core/balsamshore_core/forwarding/actions.py
@@ -2,11 +2,12 @@
 
 from typing import NamedTuple
 
+from balsamshore_core.forwarding import knowledge
 from balsamshore_core.forwarding import servers
 
 
 class Reply(NamedTuple):
-    """One whole reply of a backend server.
+    """One whole reply of a backend server, or answer of another node.
 
     Attributes:
         status: HTTP status.
@@ -20,6 +21,9 @@
         draining: Whether the server states that it drains.
         wait_s: For how long the server wants no request from this node, or 0.
         unreadable: A header about the server whose value is invalid, or ''.
+        promises: Whether callers take the status for a promise that the request
+            has not run and never will.
+        told: What another node knows of the request; None if a server replied.
     """
 
     status: int
@@ -32,14 +36,32 @@
     draining: bool = False
     wait_s: float = 0.0
     unreadable: str = ''
+    promises: bool = False
+    told: knowledge.Known | None = None
+
+    @property
+    def known(self) -> knowledge.Known:
+        """What the reply shows of the request."""
+        if self.told is not None:
+            return self.told
+        if self.refused:
+            return knowledge.Known.NOT_RUN
+        if self.promises:
+            return knowledge.Known.UNKNOWN
+        return knowledge.Known.HAS_RUN
 
     @property
     def failed(self) -> bool:
         """Whether it is a failure, or a success that its server did not sign.
 
-        Such a success may be the beginning of a reply that broke off.
+        Such a success may be the beginning of a reply that broke off. A promise
+        of a server that does not state it is a failure as well.
         """
-        return self.status >= 500 or (self.status < 300 and not self.seal)
+        return (
+            self.status >= 500
+            or (self.status < 300 and not self.seal)
+            or (self.promises and not self.refused)
+        )
 
 
 class Send(NamedTuple):
@@ -151,6 +173,7 @@
         body: The merged records.
         retry_after_s: When to retry; 0 when a retry is not useful.
         steps: Decisions that led to the answer.
+        known: What is known of the request, for a node that passed it on.
     """
 
     exchange_id: int
@@ -162,6 +185,7 @@
     body: bytes = b''
     retry_after_s: float = 0.0
     steps: tuple[Step, ...] = ()
+    known: knowledge.Known = knowledge.Known.UNKNOWN
 
 
 Action = (
--- a/packages/core/balsamshore_core/forwarding/answers.py
+++ b/packages/core/balsamshore_core/forwarding/answers.py
@@ -2,19 +2,25 @@
 
 A scattered request is answered with the covered parts if they meet the
 coverage floor. The outcome is `not run` only if no attempt ran or may
-still run.
+still run; what the caller is told follows from the table in `knowledge`.
 """
 
 import random
 
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import board as boards
+from balsamshore_core.forwarding import knowledge
 from balsamshore_core.forwarding import records
 
 BASE_RETRY_DELAY_S = 0.1  # a server empties its queue in about this time
 RETRY_JITTER_S = 0.4  # retries of refused callers are spread over this time
 MIN_RETRY_DELAY_S = 0.02  # applies to callers with little time left
 MAX_RETRY_DELAY_SHARE = 1 / 3  # of the time left; callers wait at most this
+OUTCOMES = {  # the last one depends on the reply
+    knowledge.Telling.REFUSAL: 'not run',
+    knowledge.Telling.FAILURE: 'unknown',
+    knowledge.Telling.REPLY: '',
+}
 FLOAT_TOLERANCE = 1e-9  # 0.55 * 100 is slightly above 55 in floating point
 
 
@@ -32,45 +38,65 @@
         now: Monotonic seconds.
         rng: Source of jitter for the retry delay.
     """
-    steps = tuple(exchange.steps)
-    key = exchange.exchange_id
+    reply = None
     if not exchange.route.shards:
         reply = exchange.parts[0].reply or exchange.last_reply
-        if reply is not None:
-            outcome = 'complete' if reply.status < 500 else 'unknown'
-            return actions.Answer(key, outcome, reason, reply, steps=steps)
     elif meets_coverage_floor(exchange):
-        return _merge_replies(exchange, reason, steps)
-    if exchange.may_have_run or exchange.running:
-        return actions.Answer(key, 'unknown', reason, steps=steps)
-    return actions.Answer(
-        key,
-        'not run',
-        reason,
+        return _merge_replies(exchange, reason)
+    answer = forward(exchange, reason, reply)
+    if answer.outcome != 'not run':
+        return answer
+    return answer._replace(
         retry_after_s=max(
             choose_retry_delay(exchange.deadline_at - now, rng),
             round(exchange.unavailable_until - now, 3),
-        ),
-        steps=steps,
+        )
     )
 
 
 def forward(
-    exchange: boards.Exchange, reason: str, reply: actions.Reply
+    exchange: boards.Exchange, reason: str, reply: actions.Reply | None
 ) -> actions.Answer:
-    """Builds the answer that another node has given."""
-    outcome = 'complete' if reply.status < 500 else 'unknown'
-    if reply.refused:
-        outcome = 'not run'
+    """Builds the answer to a caller from a reply, if it may be told.
+
+    Args:
+        exchange: The request.
+        reason: Why it ends, or ''.
+        reply: The last reply of a server, the answer of another node or None.
+    """
+    known = find_known(exchange, reply)
+    promises = reply.promises if reply is not None else None
+    telling = knowledge.TELLINGS[known, promises]
+    outcome = OUTCOMES[telling]
+    if telling is knowledge.Telling.REPLY:
+        assert reply is not None
+        outcome = _find_outcome(known, reply)
+    else:
+        reply = None
+    steps = tuple(exchange.steps)
     return actions.Answer(
-        exchange.exchange_id,
-        outcome,
-        reason,
-        reply,
-        steps=tuple(exchange.steps),
+        exchange.exchange_id, outcome, reason, reply, steps=steps, known=known
     )
 
 
+def find_known(
+    exchange: boards.Exchange, reply: actions.Reply | None
+) -> knowledge.Known:
+    """Returns what is known of a request that ends with this reply."""
+    known = knowledge.Known.NOT_RUN if reply is None else reply.known
+    if known is knowledge.Known.NOT_RUN and (
+        exchange.may_have_run or exchange.running
+    ):
+        return knowledge.Known.UNKNOWN
+    return known
+
+
+def _find_outcome(known: knowledge.Known, reply: actions.Reply) -> str:
+    if known is knowledge.Known.NOT_RUN:
+        return 'not run'
+    return 'complete' if reply.status < 500 else 'unknown'
+
+
 def meets_coverage_floor(exchange: boards.Exchange) -> bool:
     """Returns whether the covered parts suffice for a merged answer."""
     return exchange.covered >= _find_required_parts(exchange)
@@ -105,9 +131,7 @@
     return max(share * len(exchange.parts) - FLOAT_TOLERANCE, 1)
 
 
-def _merge_replies(
-    exchange: boards.Exchange, reason: str, steps: tuple[actions.Step, ...]
-) -> actions.Answer:
+def _merge_replies(exchange: boards.Exchange, reason: str) -> actions.Answer:
     replies = [part.reply for part in exchange.parts if part.reply]
     missing = len(exchange.parts) - len(replies)
     return actions.Answer(
@@ -120,5 +144,6 @@
         records.merge_parts(
             (reply.body for reply in replies), exchange.route.top_records
         ),
-        steps=steps,
+        steps=tuple(exchange.steps),
+        known=knowledge.Known.HAS_RUN,
     )
--- a/packages/core/balsamshore_core/forwarding/relays.py
+++ b/packages/core/balsamshore_core/forwarding/relays.py
@@ -6,15 +6,18 @@
 budgets, limits and the quarantine count where servers are met. A node never
 passes on what it got from another.
 
-What another node refuses has not run and may go to one more. If the connection
+Another node says what it knows of the request; its status says nothing of that.
+What it refuses and knows not to have run may go to one more. If the connection
 breaks off, the request may have run: it is not sent again.
 """
 
 import collections
 
 from balsamshore_core.forwarding import actions
+from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import endings
+from balsamshore_core.forwarding import knowledge
 
 MAX_TRIES = 2  # nodes that one request is passed on to
 MAX_OPEN = 256  # requests passed on at once; others are refused
@@ -62,13 +65,14 @@
     ) -> None:
         """Passes a node's answer to the caller, or tries another node."""
         self._end(exchange)
-        if reply.refused:
-            if exchange.may_have_run:
-                self._endings.finish(exchange, 'relay_refused', now, output)
+        known = answers.find_known(exchange, reply)
+        reason = 'relayed'
+        if reply.refused or reply.promises:
+            if known is not knowledge.Known.NOT_RUN:
+                reason = 'relay_refused'
+            elif self._try_again(exchange, now, output):
                 return
-            if self._try_again(exchange, now, output):
-                return
-        self._endings.finish(exchange, 'relayed', now, output, reply)
+        self._endings.finish(exchange, reason, now, output, reply)
 
     def handle_loss(
         self,
--- a/packages/node/balsamshore_node/forwarding/dialects.py
+++ b/packages/node/balsamshore_node/forwarding/dialects.py
@@ -84,8 +84,17 @@
     ) -> actions.Reply | None:
         """Decodes a server's reply; None if it is to another request."""
 
-    def encode_answer(self, answer: actions.Answer, closing: bool) -> bytes:
-        """Encodes the final answer to a caller."""
+    def encode_answer(
+        self, answer: actions.Answer, closing: bool, relayed: bool = False
+    ) -> bytes:
+        """Encodes the final answer to a caller.
+
+        Args:
+            answer: The answer.
+            closing: Whether the connection is closed after it.
+            relayed: Whether the caller is a node, which is told what is known
+                of the request.
+        """
 
 
 class StoreReply(NamedTuple):
--- a/packages/node/balsamshore_node/forwarding/pending.py
+++ b/packages/node/balsamshore_node/forwarding/pending.py
@@ -13,6 +13,7 @@
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import exchanges
 from balsamshore_core.forwarding import fingerprints
+from balsamshore_core.forwarding import knowledge
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
 from balsamshore_node.forwarding import callers
@@ -243,14 +244,22 @@
             status=status,
             reason=reason,
         ).warning(f'{request.method} {request.host}{request.target}')
-        headers = []
-        if status == 503:
-            headers.append(('Retry-After', f'{REFUSED_RETRY_S:.3f}'))
         closing = self.closing and not connection.has_more
-        connection.send_answer(
-            callers.encode_response(status, headers=headers, closing=closing),
-            closing,
-        )
+        if status == 503:
+            payload = self._dialect.encode_answer(
+                actions.Answer(
+                    0,
+                    'not run',
+                    reason,
+                    retry_after_s=REFUSED_RETRY_S,
+                    known=knowledge.Known.NOT_RUN,
+                ),
+                closing,
+                request.used_s is not None,
+            )
+        else:
+            payload = callers.encode_response(status, closing=closing)
+        connection.send_answer(payload, closing)
 
     def _send_attempt(self, action: actions.Send) -> None:
         self.pool.send(action, self._pending[action.exchange_id].request)
@@ -273,9 +282,10 @@
     def _send_answer(self, answer: actions.Answer) -> None:
         pending = self._pending.pop(answer.exchange_id)
         closing = self.closing and not pending.connection.has_more
-        pending.connection.send_answer(
-            self._dialect.encode_answer(answer, closing), closing
+        payload = self._dialect.encode_answer(
+            answer, closing, pending.request.used_s is not None
         )
+        pending.connection.send_answer(payload, closing)
         took_s = self.now() - pending.arrived_at
         self._metrics.add_answer(
             pending.route.name, answer.outcome, answer.reason, took_s
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -38,6 +38,7 @@
 CRASH_MANNERS = ('closed', 'truncated', 'supervised', 'silent')
 IN_FORCE = re.compile(r'configuration (\d+) is in force')
 PROCESSING_S = {'slow': 0.4, 'slower': 2.5}  # by mode of the server
+UNTRUE_STATUSES = {f'ran_{status}': status for status in (408, 429, 503)}
 
 
 class CallerResponse(NamedTuple):
@@ -62,8 +63,9 @@
             reply), `late_extra` (a second response after the reply), `garbage`
             (not HTTP), `unframed` (no content length), `unsealed` (a complete
             success without a seal), `broken` (truncated body), `slow` or
-            `slower`, or one of `endless.MANNERS`: bytes until the caller
-            closes.
+            `slower`, one of UNTRUE_STATUSES (executes the request, then
+            answers so with its seal and without `Not-Executed`), or one of
+            `endless.MANNERS`: bytes until the caller closes.
         server_limits: Values of the header `Server-Limit`, by server id.
         leaving_servers: Ids of the servers that say so in all their answers;
             `add_server` and a crash make it a new incarnation.
@@ -333,6 +335,8 @@
             lines = ''.join(f'{n}: {v}\r\n' for n, v in fields.items())
             head = f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
             return head + payload + listeners.CLOSE_MARKER
+        if mode in UNTRUE_STATUSES:
+            return listeners.encode(UNTRUE_STATUSES[mode], b'', fields)
         answer = listeners.encode(200, payload, fields)
         if mode == 'late_extra':
             other = listeners.encode(
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -13,6 +13,7 @@
 from balsamshore_core.forwarding import servers
 
 LIMITS = retrybudgets.Limits(0.2, 50.0, 10.0)
+PROMISES = (408, 421, 429, 503)  # statuses that say that nothing has run
 
 
 class Received(NamedTuple):
@@ -270,6 +271,7 @@
             None,
             server.draining,
             server.wait_s if status == 503 else 0.0,
+            promises=status in PROMISES,
         )
         self.perform(self.exchanges.handle_reply(attempt, reply, self.now))
 
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -207,3 +207,15 @@
         1, 2, 3, 'many', 's0', 1, 0.5, 'many-0-0', 'first', b'1'
     )
     assert backends.read_reply(1, job, reply, b'vm~1~').failed
+
+
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+def test_only_a_stated_refusal_counts_as_not_run(status):
+    job = actions.SendAttempt(
+        1, 2, 3, 'many', 's0', 1, 0.5, 'many-0-0', 'first', b'1'
+    )
+    for stated in (b'', b'shed'):
+        reply = transport.Reply(status, {b'x-not-run': stated}, b'{}', False)
+        event = backends.read_reply(1, job, reply, b'vm~1~')
+        assert event.failed
+        assert bool(event.refusal) == (stated != b'' and status == 503)
