Pass on no answer that its server did not sign

A reply below 500 without the server's signature is a failure, as a success without one was: the request goes to another server where it may, and nothing of such a reply is told.

--- a/packages/core/balsamshore_core/forwarding/actions.py
+++ b/packages/core/balsamshore_core/forwarding/actions.py
@@ -52,17 +52,22 @@
 
     @property
     def failed(self) -> bool:
-        """Whether it is a failure, or a success that its server did not sign.
-
-        Such a success may be the beginning of a reply that broke off. A promise
-        of a server that does not state it is a failure as well.
-        """
+        """Whether it is a failure, or unsigned, or a promise not stated."""
         return (
             self.status >= 500
-            or (self.status < 300 and not self.seal)
+            or self.unsigned
             or (self.promises and not self.refused)
         )
 
+    @property
+    def unsigned(self) -> bool:
+        """Whether it looks like an answer, but its server did not sign it.
+
+        It may be the beginning of a reply that broke off, or come from
+        something else at the address of a server.
+        """
+        return self.status < 500 and not self.seal and self.told is None
+
 
 class Send(NamedTuple):
     """Send a request to a server.
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -505,7 +505,7 @@
         exchange.record_step(
             now, 'failed', part.service, server_id, str(reply.status)
         )
-        if reply.status >= 300:
+        if reply.status >= 300 and not reply.unsigned:
             exchange.last_reply = reply
         self._repeats.retry_part(part, 'failed', True, now, output)
 
