Apply new limits of callers from the next request on, on kept connections too

What callers saw: on a connection that they had kept since a smaller bodyBytes or headerBytes, 413 or 431 for requests that a newer configuration allowed, for as long as they kept it; and an idle connection closed after the older idleTimeoutMs.

Cause: a connection copied the limits of its listener into its reader when it was opened; a new configuration replaced those of the listener only.

Change: a connection takes the limits of its listener when bytes arrive and no request has begun; that is a comparison of two references for each read. A request is read under the limits with which it began, requests that wait keep their place, and nothing is read behind a last request. The idle timeout is the newest one when it is due; one that became shorter holds after the next request. A request whose first byte comes in one read with the end of another is read under the limits of that one.

Looked for the same elsewhere: the other listeners (pages, control) have constant limits, relays read with those of replies, connections to servers have none of the configuration.

Why it works: every byte of a request is read by a reader that was made with the limits in force when its first byte was read, or when the read began that also ended the request before it.

--- a/packages/node/balsamshore_node/forwarding/callers.py
+++ b/packages/node/balsamshore_node/forwarding/callers.py
@@ -70,6 +70,7 @@
 
     __slots__ = (
         '_handler',
+        '_idle_since',
         '_limits',
         '_disconnected',
         '_opened_at',
@@ -88,10 +89,9 @@
     def __init__(self, listener: 'Listener', handler: Handler):
         self.listener = listener
         self._handler = handler
-        self._limits = listener.limits
-        self._reader = messages.RequestReader(
-            self._limits.head_bytes, self._limits.body_bytes
-        )
+        self._limits = listener.limits  # of the request being read
+        self._reader = _make_reader(self._limits)
+        self._idle_since = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._disconnected = False
         self._opened_at: float | None = None  # until its first request
@@ -116,7 +116,7 @@
         sockets.enable_dead_peer_detection(transport.get_extra_info('socket'))
         self.listener.connections.add(self)
         self._opened_at = asyncio.get_running_loop().time()
-        self._start_timer(self._limits.idle_timeout_s)
+        self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Withdraws the request in progress; see `asyncio`."""
@@ -133,6 +133,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Reads requests; see `asyncio`."""
+        if self._limits is not self.listener.limits:
+            self._adopt_limits()
         reader = self._reader
         was_reading = reader.current is not None
         reader.feed(data)
@@ -159,7 +161,7 @@
         if closing or (self.closing and not self.has_more):
             self.close()
             return
-        self._start_timer(self._limits.idle_timeout_s)
+        self._start_idle_timer()
         if self._reader.ready or self._reader.error_status:
             self._start_next_request()
 
@@ -188,6 +190,18 @@
         age_s = asyncio.get_running_loop().time() - self._opened_at
         return age_s < FIRST_REQUEST_S
 
+    def _adopt_limits(self) -> None:
+        """Applies new limits, unless a request was begun under the old ones."""
+        reader = self._reader
+        ready = reader.ready
+        # Only the former reader knows that nothing may follow a last request.
+        is_last = self.closing or (bool(ready) and not ready[-1].keep_alive)
+        if is_last or reader.current is not None or reader.error_status:
+            return
+        self._limits = self.listener.limits
+        self._reader = _make_reader(self._limits)
+        self._reader.ready = ready
+
     def _start_next_request(self) -> None:
         reader = self._reader
         if reader.ready:
@@ -243,6 +257,15 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(delay_s, self._handle_timeout)
 
+    def _start_idle_timer(self) -> None:
+        self._idle_since = asyncio.get_running_loop().time()
+        self._start_timer(self.listener.limits.idle_timeout_s)
+
+    def _find_idle_time_left(self) -> float:
+        """Returns how long an idle connection stays; limits may have grown."""
+        idle_s = asyncio.get_running_loop().time() - self._idle_since
+        return self.listener.limits.idle_timeout_s - idle_s
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -253,14 +276,27 @@
         if self.busy:
             return
         if self._reader.current is None:
-            self.close()
+            left_s = self._find_idle_time_left()
+            if left_s > 0:
+                self._start_timer(left_s)
+            else:
+                self.close()
             return
         self._handler.record_rejection(self, 408)
         self._reject(408)
 
 
+def _make_reader(limits: routes.CallerLimits) -> messages.RequestReader:
+    return messages.RequestReader(limits.head_bytes, limits.body_bytes)
+
+
 class Listener:
-    """One listening address and its connections."""
+    """One listening address and its connections.
+
+    Attributes:
+        limits: Limits of each request that begins from now on.
+        connections: Open connections.
+    """
 
     def __init__(self, handler: Handler, limits: routes.CallerLimits):
         self.limits = limits
--- a/tests/adapter/test_program.py
+++ b/tests/adapter/test_program.py
@@ -400,3 +400,39 @@
     )
     assert result.returncode == 2
     assert "'here'" in result.stderr
+
+
+async def send_kept(reader, writer, number, body):
+    """Sends a request on a kept connection; returns the answer's status."""
+    writer.write(
+        f'POST /p/x HTTP/1.1\r\nHost: {emulator.HOST}\r\n'
+        f'Request-Id: kept-{number}\r\nDeadline-Ms: 3000\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'.encode()
+        + body
+    )
+    head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 5.0)
+    if size := re.search(rb'(?i)content-length: (\d+)', head):
+        await reader.readexactly(int(size[1]))
+    return int(head.split()[1])
+
+
+async def test_a_kept_connection_takes_what_a_newer_configuration_allows(
+    tmp_path,
+):
+    async with start_platform(tmp_path, network='127.92') as platform:
+        kept = [
+            await asyncio.open_connection(
+                f'{platform.network}.2.{1 + number % 2}',
+                emulator.PORTS['listen.front'],
+            )
+            for number in range(10)
+        ]
+        for number, streams in enumerate(kept):
+            assert await send_kept(*streams, number, b'small') == 200
+        table = emulator.make_table(2)
+        table['limits']['bodyBytes'] = 300_000
+        await platform.put('op/config', table)
+        await asyncio.sleep(3.0)
+        for number, streams in enumerate(kept, len(kept)):
+            assert await send_kept(*streams, number, bytes(200_000)) == 200
+            streams[1].close()
--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -25,10 +25,12 @@
 
     Attributes:
         distances: How far away the caller of each request was.
+        rejected: Statuses of the requests that were rejected.
     """
 
     def __init__(self):
         self.distances = []
+        self.rejected = []
 
     def handle_request(self, connection, raw):
         self.distances.append(connection.distance)
@@ -38,7 +40,7 @@
         pass
 
     def record_rejection(self, connection, error_status):
-        pass
+        self.rejected.append(error_status)
 
 
 @pytest.fixture
@@ -158,3 +160,117 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
         assert sockets.read_round_trip(datagrams) is None
     assert sockets.read_round_trip(None) is None
+
+
+def encode_request(body_bytes, header_bytes=0):
+    return (
+        f'POST / HTTP/1.1\r\nHost: h\r\nX-Long: {"a" * header_bytes}\r\n'
+        f'Content-Length: {body_bytes}\r\n\r\n'
+    ).encode() + bytes(body_bytes)
+
+
+SMALL = routes.CallerLimits(head_bytes=500, body_bytes=500)
+LARGE = routes.CallerLimits(head_bytes=2000, body_bytes=2000)
+
+
+@pytest.mark.parametrize(
+    ('before', 'after', 'request_bytes', 'status'),
+    [
+        (SMALL, LARGE, encode_request(1000), 200),
+        (SMALL, LARGE, encode_request(0, 1000), 200),
+        (LARGE, SMALL, encode_request(1000), 413),
+        (LARGE, SMALL, encode_request(0, 1000), 431),
+    ],
+)
+async def test_new_limits_hold_for_the_next_request_of_a_kept_connection(
+    listener, before, after, request_bytes, status
+):
+    listener.limits = before
+    kept = [connect(listener) for _ in range(COUNT)]
+    for sock in kept[: COUNT // 2]:  # the others have sent nothing yet
+        sock.sendall(REQUEST)
+        assert (await read(sock)).startswith(b'HTTP/1.1 200 ')
+    await asyncio.sleep(0.05)
+    listener.limits = after
+    for sock in kept:
+        sock.setblocking(True)
+        sock.sendall(request_bytes)
+        assert (await read(sock)).startswith(f'HTTP/1.1 {status} '.encode())
+
+
+async def test_a_request_is_read_under_the_limits_with_which_it_began(listener):
+    listener.limits = LARGE
+    sock = connect(listener)
+    request = encode_request(1000)
+    sock.sendall(request[:-900])
+    await asyncio.sleep(0.05)
+    listener.limits = SMALL
+    sock.sendall(request[-900:])
+    assert (await read(sock)).startswith(b'HTTP/1.1 200 ')
+    assert not listener.handler.rejected
+
+
+async def test_a_request_behind_another_keeps_its_place_under_new_limits(
+    listener, monkeypatch
+):
+    held = []
+    monkeypatch.setattr(
+        listener.handler,
+        'handle_request',
+        lambda connection, raw: held.append((connection, raw)),
+    )
+    listener.limits = SMALL
+    sock = connect(listener)
+    sock.sendall(encode_request(1) + encode_request(2))
+    await asyncio.sleep(0.05)
+    listener.limits = LARGE
+    sock.sendall(encode_request(1000))
+    for body_bytes in (1, 2, 1000):
+        await asyncio.sleep(0.05)
+        connection, raw = held.pop()
+        assert len(raw.read_body()) == body_bytes
+        connection.send_answer(callers.encode_response(200), False)
+        sock.setblocking(True)
+    assert not held
+
+
+async def test_nothing_is_read_after_a_last_request_under_new_limits(
+    listener, monkeypatch
+):
+    held = []
+    monkeypatch.setattr(
+        listener.handler,
+        'handle_request',
+        lambda connection, raw: held.append((connection, raw)),
+    )
+    last = REQUEST.replace(b'Host', b'Connection: close\r\nHost')
+    sock = connect(listener)
+    sock.sendall(REQUEST + last)
+    await asyncio.sleep(0.05)
+    listener.limits = LARGE
+    sock.sendall(REQUEST)
+    for _ in range(2):
+        await asyncio.sleep(0.05)
+        held.pop()[0].send_answer(callers.encode_response(200), False)
+    await asyncio.sleep(0.05)
+    assert not held
+    assert not listener.connections
+
+
+async def test_an_idle_connection_stays_as_long_as_the_newest_limits_say(
+    listener,
+):
+    listener.limits = SMALL._replace(idle_timeout_s=0.3)
+    used, longer = connect(listener), connect(listener)
+    used.sendall(REQUEST)
+    await read(used)
+    listener.limits = LARGE._replace(idle_timeout_s=0.9)
+    await asyncio.sleep(0.6)
+    for sock in (used, longer):
+        sock.setblocking(True)
+        sock.sendall(REQUEST)
+        assert (await read(sock)).startswith(b'HTTP/1.1 200 ')
+    await asyncio.sleep(0.6)
+    assert len(listener.connections) == 2
+    await asyncio.sleep(0.6)
+    assert not listener.connections
