Let a statement hold for an incarnation that may have made it

Cause: replies do not say which incarnation made them. The node took the one that the store had told, though a newer one may be there that it has not read of yet.

What is decided: an incarnation that is read of within 3.5 s (2.6 s for a watch and its dissemination, and a reserve) of the statement, or of the last moment at which the store could not be read, may have started before the statement. The statement is carried over to it if the address is the same. Read later than that it was written later, and is used at once. What is carried is no certain knowledge, so it ends: with a later report of that incarnation that was read after those 3.5 s (a sound server reports each heartbeat; one that leaves reports that or is removed), or with a reply of it without the statement. Without any other server it is used 3.5 s after it became known, which one request decides. It is not reported to other nodes, as a report would make it certain there. A statement for the new incarnation itself holds for good, as before.

Not changed, the same cause: a wait (Retry-After) and a rate that a newer incarnation states while the store cannot be read are forgotten when it is read of; both are stated again with the next reply. A reply to a request that was sent before the new incarnation was read of, and that comes after it, still counts for the former one; the next reply says it again.

--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -275,6 +275,8 @@
             changes.append(
                 f'{decoded.server_id} of {decoded.service} started again'
             )
+        if current is not None:
+            self._follow_statements(current, decoded, now)
         self._entries[key] = decoded
         self._take_address(item, decoded)
         self._board.registry.put(decoded, now)
@@ -285,6 +287,26 @@
             )
         return True
 
+    def _follow_statements(
+        self,
+        current: servers.ServerEntry,
+        decoded: servers.ServerEntry,
+        now: float,
+    ) -> None:
+        """Decides whether what a server said holds for its newer entry."""
+        departed = self._board.departed
+        if not departed or decoded.draining:
+            return
+        gap_at = self._board.store_gap_at
+        incarnation = decoded.incarnation
+        if decoded.born_ms != current.born_ms:
+            if decoded.address == current.address and departed.carry(
+                current.incarnation, incarnation, gap_at, now
+            ):
+                self._board.counters['departures_carried'] += 1
+        elif decoded.sequence > current.sequence:
+            departed.confirm(incarnation, gap_at, now)
+
     def _is_old_state(
         self,
         decoded: servers.ServerEntry,
--- a/packages/core/balsamshore_core/forwarding/statements.py
+++ b/packages/core/balsamshore_core/forwarding/statements.py
@@ -38,6 +38,8 @@
         """Records what a reply states about its server."""
         if reply.draining:
             self._record_departure(server.entry, now)
+        elif not reply.failed:
+            self._board.departed.hear_staying(server.entry.incarnation)
         if reply.wait_s > 0:
             self._record_wait(server, reply.wait_s, now)
         if reply.unreadable:
--- a/tests/forwarding/test_statements.py
+++ b/tests/forwarding/test_statements.py
@@ -6,6 +6,7 @@
 from forwarding import worlds
 
 from balsamshore_core import retryafter
+from balsamshore_core.forwarding import catalog as catalogs
 from balsamshore_core.forwarding import departures
 from balsamshore_core.forwarding import servers
 from balsamshore_core.forwarding import statements
@@ -111,6 +112,143 @@
     assert world.board.departed.record((old.server_id, 2), world.now) is True
 
 
+def count_used(world, server_id, seconds):
+    """Returns how many of twice 20 requests a second a server gets."""
+    since = world.now
+    for _ in range(round(seconds / 0.05)):
+        world.ask(world.plain)
+        world.ask(world.plain)
+        world.run(0.05)
+    return count_runs(world, server_id, since)
+
+
+class Decoder:
+    """Decodes `ID born sequence [state]`, each id with its own address."""
+
+    def is_relevant(self, key):
+        return True
+
+    def decode(self, key, value):
+        server_id, born, sequence, *state = value.decode().split()
+        return servers.ServerEntry(
+            server_id, 's0', f'127.0.0.1:{server_id[-1]}', 'a', 3,
+            state == ['draining'], 0.0, int(born), int(sequence),
+        )  # fmt: skip
+
+
+class Store:
+    """The store as one node reads it; it may be unreadable for a while."""
+
+    def __init__(self, world):
+        self.world = world
+        self.catalog = catalogs.Catalog(world.board, Decoder())
+        for name in NAMES:
+            world.board.registry.remove(name)
+        self.write(*(f'{name} 1 1' for name in NAMES))
+
+    def write(self, *values):
+        """Lets the node read what servers have written."""
+        since = self.catalog.revision
+        items = [
+            catalogs.Item(value.split()[0], since + number, value.encode())
+            for number, value in enumerate(values, 1)
+        ]
+        revision = since + len(items)
+        self.catalog.apply(items, since, revision, self.world.now)
+
+    def remove(self, server_id):
+        """Lets the node read that the entry of a server is gone."""
+        revision = self.catalog.revision + 1
+        removal = catalogs.Item(server_id, revision, None)
+        self.catalog.apply([removal], revision - 1, revision, self.world.now)
+
+    def ask_unread(self, seconds):
+        """Sends requests while the store cannot be read."""
+        for _ in range(round(seconds / 0.5)):
+            self.world.board.store_gap_at = self.world.now
+            ask_for(self.world, 0.5)
+        self.world.board.store_gap_at = self.world.now
+
+
+def make_restarted(leaving):
+    """Restarts a server that leaves while the store cannot be read.
+
+    Args:
+        leaving: Whether the statement is that of the new incarnation.
+    """
+    world = make_world()
+    store = Store(world)
+    world.servers['s0-0'].draining = True
+    store.ask_unread(6.0)
+    world.servers['s0-0'].draining = leaving
+    store.write('s0-0 2 1')
+    return world, store
+
+
+@pytest.mark.parametrize('seconds', [1.0, departures.NEWS_S + 1.0, 20.0])
+def test_a_statement_holds_for_a_start_that_was_read_after_it(seconds):
+    world, _ = make_restarted(leaving=True)
+    assert count_used(world, 's0-0', seconds) == 0
+
+
+def test_a_restarted_server_is_used_from_its_next_report_on():
+    world, store = make_restarted(leaving=False)
+    assert count_used(world, 's0-0', departures.NEWS_S + 0.1) == 0
+    store.write('s0-0 2 5')
+    assert count_used(world, 's0-0', 1.0) > 0
+
+
+def test_a_report_that_may_be_older_than_the_statement_changes_nothing():
+    world, store = make_restarted(leaving=True)
+    world.run(departures.NEWS_S - 1.0)
+    store.write('s0-0 2 2')
+    world.run(2.0)
+    store.write('s0-0 2 2')
+    assert count_used(world, 's0-0', 5.0) == 0
+
+
+def test_a_start_that_was_read_well_after_a_statement_ends_it():
+    world = make_world()
+    store = Store(world)
+    world.servers['s0-0'].draining = True
+    ask_for(world, 0.5 + departures.NEWS_S)
+    world.servers['s0-0'].draining = False
+    store.write('s0-0 2 1')
+    assert count_used(world, 's0-0', 1.0) > 0
+
+
+def test_a_restarted_server_is_tried_if_there_is_no_other():
+    world, store = make_restarted(leaving=False)
+    store.remove('s0-1')
+    refused = world.ask(world.plain)
+    assert world.answers[refused].answer.reason == 'no_replicas'
+    world.run(departures.NEWS_S + 0.1)
+    world.ask(world.plain)
+    world.run(0.1)
+    store.write('s0-1 2 1')
+    assert count_used(world, 's0-0', 1.0) > 0
+
+
+def test_a_restarted_server_that_still_leaves_is_tried_once_only():
+    world, store = make_restarted(leaving=True)
+    store.remove('s0-1')
+    world.run(departures.NEWS_S + 0.1)
+    tried_at = world.now
+    world.ask(world.plain)
+    world.run(0.1)
+    store.write('s0-1 2 1', 's0-0 2 9')
+    assert count_used(world, 's0-0', 2.0) == 0
+    assert count_runs(world, 's0-0', tried_at) == 1
+
+
+def test_what_is_not_certain_is_not_reported_to_other_nodes():
+    world, _ = make_restarted(leaving=True)
+    assert ('s0-0', 2) not in {
+        (server_id, report.born_ms)
+        for server_id, report in world.board.list_departures(world.now).items()
+    }
+
+
 def test_other_nodes_avoid_a_server_that_is_reported_to_drain():
     world = make_world()
     report = departures.DepartureReport(1, 0.2)
@@ -367,6 +505,14 @@
     patch.setattr(departures, 'LAST_RESORT_SHARE', 0.0)
 
 
+def trust_each_start(patch):
+    patch.setattr(departures.Departures, 'carry', lambda *_: False)
+
+
+def check_start():
+    test_a_statement_holds_for_a_start_that_was_read_after_it(1.0)
+
+
 def ignore_incarnations(patch):
     patch.setattr(
         servers.ServerEntry,
@@ -393,6 +539,7 @@
     never_use_draining_servers: (
         test_draining_servers_are_a_last_resort_for_part_of_the_drain_time
     ),
+    trust_each_start: check_start,
     ignore_incarnations: (test_a_new_incarnation_of_a_draining_server_is_used),
     forget_waits: test_a_server_that_wants_nothing_for_a_while_gets_nothing,
     wait_beyond_the_deadline: (
