Ask a server that takes nothing from one node after the other, each 2 s

Cause: only an answer ends a limit. All nodes hear of a rate at nearly one moment and began with empty buckets, so their tokens came at one moment too: with a share of 0.225 of MIN_RATE (0.25) each 18 s, and nobody asked in between.

Change: the nodes that are counted as senders begin 1/n of a token apart, by their place among the names that are counted, for a new limit and when a rate falls to the least one. MIN_RATE is 0.5, one request in 2 s of all nodes together.

Why it works: n tokens that come one after the other have a distance of a period divided by n, which is 1 / (MIN_RATE x 0.9) whatever n is; the nodes tell each other the first answer without a rate, and the rate then doubles each second for 4 s.

Not changed: each node that has been without requests may hold one token, so more than five such nodes can still ask at one moment (docs/DESIGN.md says so).

--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -243,6 +243,8 @@
             host from `fleet`.
         limit_share: This node's share of the rate limits of servers; set by the
             host from `fleet`.
+        limit_phase: What this node's bucket of a new rate limit holds at first;
+            set by the host from `fleet`.
         slack_share: This node's share of the slack of retry budgets; set by
             the host from `fleet`.
         exchanges: Requests in progress.
@@ -285,6 +287,7 @@
     )
     senders: int = 1
     limit_share: float = 0.225
+    limit_phase: float = 0.0
     slack_share: float = 0.5
     exchanges: ExchangeSection = dataclasses.field(
         default_factory=ExchangeSection
--- a/packages/core/balsamshore_core/forwarding/fleet.py
+++ b/packages/core/balsamshore_core/forwarding/fleet.py
@@ -478,6 +478,10 @@
         """Returns this node's share of the rate limits of servers."""
         return self._senders.find_share(now, ratelimits.WINDOW_S)
 
+    def find_limit_phase(self) -> float:
+        """Returns how full this node's bucket of a new rate limit is."""
+        return self._senders.find_phase()
+
     def may_lack_reports(self, now: float) -> bool:
         """Returns whether nodes that this one cannot hear may know more.
 
--- a/packages/core/balsamshore_core/forwarding/rates.py
+++ b/packages/core/balsamshore_core/forwarding/rates.py
@@ -46,7 +46,9 @@
         if reply.rate_limit is None and (reply.failed or reply.status >= 300):
             return
         server = attempt.server
-        if not server.record_rate_limit(reply.rate_limit, attempt.sent_at, now):
+        if not server.record_rate_limit(
+            reply.rate_limit, attempt.sent_at, now, self._board.limit_phase
+        ):
             return
         limit = server.limit
         assert limit is not None
@@ -67,7 +69,7 @@
         for server_id, report in reports.items():
             server = self._board.registry.find(server_id)
             if server is not None:
-                server.record_rate_report(report, now)
+                server.record_rate_report(report, now, self._board.limit_phase)
                 self._limited.add(server.entry.service)
 
     def list_parts_out(
--- a/packages/core/balsamshore_core/forwarding/senders.py
+++ b/packages/core/balsamshore_core/forwarding/senders.py
@@ -63,6 +63,7 @@
         self._counted_since: float | None = None
         self._last_counted_at = float('-inf')
         self._missing = False
+        self._position: int | None = None  # among the counted nodes
 
     def update(
         self, records: placement.NodeRecords, unheard_seeds: int, now: float
@@ -78,6 +79,9 @@
         counted = {record.name for record in placement.choose_active(records)}
         counted.update(record.name for record in records if record.active)
         self._update_own(counted, now)
+        self._position = None
+        if self._own_name in counted:
+            self._position = sorted(counted).index(self._own_name)
         silent = self._update_silent(records, counted, now)
         self._missing = any(seen.counted for seen in silent)
         if self._started_at == float('-inf'):
@@ -121,6 +125,17 @@
             return reserved / max(self._nodes, MIN_SENDERS)
         return (1.0 - RESERVED_SHARE) / max(self._count, MIN_SENDERS)
 
+    def find_phase(self) -> float:
+        """Returns how full this node's bucket of a new limit is, below 1.
+
+        It differs between the nodes that share the limit, so that they spend
+        their first tokens one after the other.
+        """
+        if self._position is None:
+            return 0.0
+        turn = self._position + 1
+        return 1.0 - turn / max(self._count, MIN_SENDERS, turn)
+
     def _update_own(
         self, counted: collections.abc.Container[str], now: float
     ) -> None:
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -188,7 +188,11 @@
             self.sampled_at = now
 
     def record_rate_limit(
-        self, rate: float | None, sent_at: float, now: float
+        self,
+        rate: float | None,
+        sent_at: float,
+        now: float,
+        tokens: float = 0.0,
     ) -> bool:
         """Records the rate that a reply states.
 
@@ -198,6 +202,7 @@
                 does not end a limit.
             sent_at: When the request was sent.
             now: Monotonic seconds.
+            tokens: What the bucket of a new limit holds at first.
 
         Returns:
             Whether other nodes should know.
@@ -209,15 +214,21 @@
             limit.end(sent_at)
             return limit.ended_at is not None
         if limit is None:
-            self.limit = ratelimits.RateLimit(rate, now, now)
+            self.limit = ratelimits.RateLimit(rate, now, now, tokens)
         else:
-            limit.hear(rate, now)
+            limit.hear(rate, now, tokens)
         return True
 
     def record_rate_report(
-        self, report: ratelimits.RateReport, now: float
+        self, report: ratelimits.RateReport, now: float, tokens: float = 0.0
     ) -> None:
-        """Records what another node heard of this server's limit."""
+        """Records what another node heard of this server's limit.
+
+        Args:
+            report: What it heard.
+            now: Monotonic seconds.
+            tokens: What the bucket of a new limit holds at first.
+        """
         if report.born_ms != self.entry.born_ms:
             return
         heard_at = now - report.age_s
@@ -225,9 +236,11 @@
             if self.limit is not None:
                 self.limit.end(heard_at)
         elif self.limit is None:
-            self.limit = ratelimits.RateLimit(report.rate, heard_at, now)
+            self.limit = ratelimits.RateLimit(
+                report.rate, heard_at, now, tokens
+            )
         else:
-            self.limit.hear(report.rate, heard_at)
+            self.limit.hear(report.rate, heard_at, tokens)
 
     def count_tokens(
         self, share: float, now: float, kept: float = 0.0
--- a/packages/core/balsamshore_core/ratelimits.py
+++ b/packages/core/balsamshore_core/ratelimits.py
@@ -5,9 +5,11 @@
 `senders`) and spends one token on each request: first attempts, hedges and
 retries alike, whether they are answered or not.
 
-A bucket starts empty, and together the buckets hold little more than the
-requests of one second, so that their sum stays within the rate while views of
-the fleet change.
+A bucket starts with less than a token, and together the buckets hold little
+more than the requests of one second, so that their sum stays within the rate
+while views of the fleet change. How full a bucket is at first differs between
+the nodes, also when a rate falls to the least one, so that a server that takes
+next to nothing is asked by one after the other, not by all at one moment.
 """
 
 import math
@@ -19,7 +21,7 @@
 UNREADABLE_RATE = 5.0  # used until the server states a readable one
 # A server that takes nothing is still asked now and then, because only an
 # answer can say that it takes requests again.
-MIN_RATE = 0.25
+MIN_RATE = 0.5
 MAX_RATE = 1e6
 # A server states its need in each answer. Without any for this long, it is
 # tried again as after the end of its limit.
@@ -71,21 +73,42 @@
 
     __slots__ = ('_filled_at', '_tokens', 'ended_at', 'heard_at', 'rate')
 
-    def __init__(self, rate: float, heard_at: float, now: float):
+    def __init__(
+        self, rate: float, heard_at: float, now: float, tokens: float = 0.0
+    ):
+        """Creates a limit.
+
+        Args:
+            rate: The rate.
+            heard_at: When it was stated.
+            now: Monotonic seconds.
+            tokens: What the bucket holds at first, 0 to below 1.
+        """
         self.rate = UNREADABLE_RATE
         self.heard_at = heard_at
         self.ended_at: float | None = None
-        self._tokens = 0.0
+        self._tokens = tokens
         self._filled_at = now
         self._set(rate)
 
-    def hear(self, rate: float, heard_at: float) -> None:
-        """Notes a rate that was stated; an older statement changes nothing."""
+    def hear(
+        self, rate: float, heard_at: float, tokens: float | None = None
+    ) -> None:
+        """Notes a rate that was stated; an older statement changes nothing.
+
+        Args:
+            rate: The rate.
+            heard_at: When it was stated.
+            tokens: What the bucket holds if the rate falls to the least one.
+        """
         if heard_at < self.heard_at:
             return
         self.heard_at = heard_at
         self.ended_at = None
+        former = self.rate
         self._set(rate)
+        if tokens is not None and former > self.rate == MIN_RATE:
+            self._tokens = tokens
 
     def end(self, heard_at: float) -> None:
         """Notes an answer without a rate, to a request sent at `heard_at`."""
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -426,6 +426,7 @@
         self.board.senders = senders
         self.board.slack_share = self.fleet.find_slack_share(now)
         self.board.limit_share = self.fleet.find_limit_share(now)
+        self.board.limit_phase = self.fleet.find_limit_phase()
 
     def _reload_settings(self, _: float) -> None:
         """Applies changed seeds; other settings apply from the next start."""
--- a/tests/forwarding/test_ratelimits.py
+++ b/tests/forwarding/test_ratelimits.py
@@ -1,5 +1,6 @@
 """Rates that servers state, summed over nodes with differing views."""
 
+import itertools
 import math
 
 import hypothesis
@@ -54,9 +55,13 @@
                     node.server.limit.spend(share, now)
                 if now > max(node.counted_at, node.up_at + RESTART_S):
                     self.arrivals.append(now)
-                node.server.record_rate_limit(self.rate_limit, now, now)
+                self.answer(node, now)
                 node.counted_at = min(node.counted_at, now + KNOWN_AFTER_S)
 
+    def answer(self, node, now):
+        tokens = node.senders.find_phase()
+        node.server.record_rate_limit(self.rate_limit, now, now, tokens)
+
     def find_worst(self):
         """Returns the most requests in a window for those allowed."""
         allowed = 1.5 * ratelimits.WINDOW_S * self.rate_limit + 5
@@ -69,7 +74,90 @@
         return worst / allowed
 
 
+class TalkingFleet(Fleet):
+    """Nodes that tell each other what they hear, as all nodes do."""
+
+    def answer(self, node, now):
+        tokens = node.senders.find_phase()
+        rate = self.rate_limit
+        if node.server.record_rate_limit(rate, now, now, tokens):
+            report = ratelimits.RateReport(ENTRY.born_ms, rate, 0.0)
+            for other in self.nodes:
+                if other is not node:
+                    other.server.record_rate_report(
+                        report, now, other.senders.find_phase()
+                    )
+
+
 RATES = (0.5, 3.0, 9.0, 40.0)
+END_S = 7.0  # after which a limit that is no longer stated does not count
+TRIALS_S = 60.0  # in which a server states that it takes nothing
+
+
+def stop_and_start(numbers, before=None, trials_s=TRIALS_S):
+    """Lets a server take nothing for a while, and requests again then.
+
+    Args:
+        numbers: The nodes that get requests.
+        before: The rate that the server states before.
+        trials_s: How long it takes nothing.
+
+    Returns:
+        After how long each of these nodes may send it a request.
+    """
+    fleet = TalkingFleet(7, before)
+    fleet.set_rates(test_senders.spread(30.0, numbers))
+    fleet.run(20.0)
+    fleet.rate_limit = 0.0
+    fleet.run(trials_s)
+    fleet.rate_limit = None
+    ended_at = fleet.now
+    free_s = {}
+    while fleet.now < ended_at + 30.0:
+        fleet.run(test_senders.STEP_S)
+        for number in numbers:
+            node = fleet.nodes[number]
+            share = node.senders.find_share(fleet.now, ratelimits.WINDOW_S)
+            if node.server.count_tokens(share, fleet.now) >= 1.0:
+                free_s.setdefault(number, fleet.now - ended_at)
+    return [free_s.get(number, math.inf) for number in numbers]
+
+
+@pytest.mark.parametrize('numbers', [range(4), range(7)])
+@pytest.mark.parametrize('before', [None, 12.0])
+@pytest.mark.parametrize('later_s', [0.0, 3.0, 7.0, 11.0])
+def test_a_server_that_takes_requests_again_is_used_soon(
+    numbers, before, later_s
+):
+    free_s = stop_and_start(numbers, before, TRIALS_S + later_s)
+    assert max(free_s) <= END_S
+
+
+@pytest.mark.parametrize('nodes', [4, 7, 10, 16])
+def test_a_server_that_takes_nothing_gets_few_requests(nodes):
+    fleet = TalkingFleet(nodes, None)
+    fleet.set_rates(test_senders.spread(60.0, range(nodes)))
+    fleet.run(20.0)
+    fleet.rate_limit = 0.0
+    fleet.run(1.0)
+    fleet.arrivals.clear()
+    fleet.run(TRIALS_S)
+    assert fleet.find_worst() <= 1.0
+
+
+def test_nodes_ask_a_server_that_takes_nothing_one_after_the_other():
+    fleet = TalkingFleet(4, None)
+    fleet.set_rates(test_senders.spread(60.0, range(4)))
+    fleet.run(20.0)
+    fleet.rate_limit = 0.0
+    fleet.run(1.0)
+    fleet.arrivals.clear()
+    fleet.run(TRIALS_S)
+    pauses_s = [
+        after - before
+        for before, after in itertools.pairwise(sorted(fleet.arrivals))
+    ]
+    assert max(pauses_s) <= 2.0 / ratelimits.MIN_RATE
 
 
 @pytest.mark.parametrize('rate_limit', RATES)
@@ -315,6 +403,14 @@
     patch.setattr(ratelimits.RateLimit, 'spend', lambda *arguments: None)
 
 
+def begin_with_empty_buckets(patch):
+    patch.setattr(test_senders.senders.Senders, 'find_phase', lambda self: 0.0)
+
+
+def check_end():
+    assert max(stop_and_start(range(4), trials_s=TRIALS_S + 3.0)) <= END_S
+
+
 def check_sum():
     test_the_sum_of_all_nodes_stays_within_the_rate(9.0, range(4))
 
@@ -335,6 +431,7 @@
 
 
 MUTATIONS = {
+    begin_with_empty_buckets: check_end,
     take_the_whole_rate: check_sum,
     keep_tokens_without_bound: check_pause,
     forget_that_tokens_were_spent: check_sum,
