Choose the same active nodes everywhere, also if they started at one moment

What callers saw: nothing; servers got more extra requests than all nodes together may send. With seven nodes that all started in the same millisecond (forced, trial): 77 extra arrivals at service a in 10 s, 64.4 are allowed, 74 and 73 of 63.8 at b and c; each of the seven held a share of 0.225 and counted four senders.

Cause: each node chooses the active nodes by their age. Among equal starts the order of the list decided, in which each node puts its own record first, so each chose itself. The shares of the retry budget, of rates and of connections then sum to more than the whole, and callers are sent to differing nodes.

Change: names decide among equal starts, within a failure domain and between them. The virtual fleet of tests/forwarding/test_senders.py lists a node's own record first, as the product does; its nodes all started in different milliseconds.

Why it works: names differ, so the order by start and name is the same in every list of the same records.

--- a/packages/core/balsamshore_core/forwarding/placement.py
+++ b/packages/core/balsamshore_core/forwarding/placement.py
@@ -65,9 +65,7 @@
     in turn. Their number follows from the load of the active nodes. The load
     of the other nodes is their background work and does not count.
     """
-    eligible = sorted(
-        list_eligible(records), key=lambda record: record.incarnation
-    )
+    eligible = sorted(list_eligible(records), key=_find_age_rank)
     in_use = sum(
         record.load * record.capacity for record in records if record.active
     )
@@ -80,7 +78,7 @@
         len(chosen) < MIN_ACTIVE or in_use > TARGET_LOAD * capacity
     ):
         for domain in sorted(
-            by_domain, key=lambda name: by_domain[name][0].incarnation
+            by_domain, key=lambda name: _find_age_rank(by_domain[name][0])
         ):
             record = by_domain[domain].pop(0)
             chosen.append(record)
@@ -92,6 +90,11 @@
     return chosen
 
 
+def _find_age_rank(record: NodeRecord) -> tuple[int, str]:
+    """Returns the rank by age; names decide among starts at one moment."""
+    return record.incarnation, record.name
+
+
 def list_eligible(records: NodeRecords) -> list[NodeRecord]:
     """Lists the serving nodes with similar capacity to the strongest."""
     serving = [record for record in records if record.state == 'serving']
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -2,6 +2,8 @@
 
 import random
 
+import hypothesis
+import hypothesis.strategies as st
 from forwarding import test_catalog
 from forwarding import worlds
 
@@ -465,6 +467,21 @@
     } == before
 
 
+@hypothesis.given(
+    st.lists(st.integers(0, 2), min_size=12, max_size=12), st.randoms()
+)
+def test_all_nodes_choose_the_same_in_whatever_order_they_know_them(
+    starts, random
+):
+    records = [
+        record._replace(incarnation=start_ms)
+        for record, start_ms in zip(make_records(12), starts, strict=True)
+    ]
+    chosen = placement.choose_active(records)
+    random.shuffle(records)
+    assert placement.choose_active(records) == chosen
+
+
 def test_higher_load_activates_more_nodes():
     few = placement.choose_active(make_records(12, load=0.05))
     many = placement.choose_active(make_records(12, load=0.2))
--- a/tests/forwarding/test_senders.py
+++ b/tests/forwarding/test_senders.py
@@ -84,7 +84,9 @@
             if self.now - at <= SILENCE_S
         ]
         unheard = SEEDS - node.heard.keys()
-        node.senders.update(sorted(heard), len(unheard), self.now)
+        # As in `fleet`, a node's own record is the first.
+        heard.sort(key=lambda record: (record.name != node.name, record.name))
+        node.senders.update(heard, len(unheard), self.now)
 
     def send(self, node):
         node.activity += 0.3 * (node.rate - node.activity)
@@ -153,6 +155,18 @@
     assert fleet.find_worst_share() <= 1.0
 
 
+@pytest.mark.parametrize('starts', [[0] * 7, [0, 0, 1, 1, 1, 1, 1], range(7)])
+def test_nodes_that_started_in_the_same_millisecond_share_the_slack(starts):
+    fleet = Fleet()
+    for node, start_ms in zip(fleet.nodes, starts, strict=True):
+        node.incarnation = start_ms
+    fleet.set_rates(spread(0.5))
+    fleet.run(15.0)
+    fleet.set_rates(spread(1.4))
+    fleet.run(25.0)
+    assert fleet.find_worst_share() <= 1.0
+
+
 @pytest.mark.parametrize('groups', [range(7), [0, 0, 0, 1, 1, 1, 1]])
 @pytest.mark.parametrize('rate', [1.0, 4.0])
 @pytest.mark.parametrize('seconds', [5.0, 35.0, 100.0])
