Let a reply that ends a check count for its own request first

Cause: handle_reply ended the attempt, then followed the change of the links. That sends the parts that were held; one that no server wants fails and may end the very request that the reply belongs to. The attempt was no longer among the live ones, so it was not marked as abandoned, and the reply completed a part of a request that was gone: KeyError in finish. The exception dropped the actions collected so far, among them the answers to other requests that had ended in the same step and were known to nobody any more, so no deadline ended them either.

Change: the reply is evaluated before the links are followed, and complete_part does nothing for a part that has ended, as fail_part always did. The other loops over parts that may end (release, isolate, send_waiting, round timers, start) were read: they look at is_open or go through fail_part.

--- a/packages/core/balsamshore_core/forwarding/endings.py
+++ b/packages/core/balsamshore_core/forwarding/endings.py
@@ -30,6 +30,8 @@
         output: boards.Actions,
     ) -> None:
         """Ends a part with its reply; answers the request if it may."""
+        if not part.is_open():
+            return
         part.reply = reply
         exchange = part.exchange
         exchange.covered += 1
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -156,8 +156,7 @@
             return output
         part = attempt.part
         server = attempt.server
-        if self._board.reachability.record_reply(now):
-            self._follow_links(now, output)
+        links_changed = self._board.reachability.record_reply(now)
         if reply.misdirected:
             for fingerprint in self._isolation.record_end(server.entry, now):
                 self._sends.release(fingerprint, now, output)
@@ -178,6 +177,8 @@
             self._statements.record(server, reply, now)
         if not attempt.abandoned:
             self._evaluate_reply(attempt, reply, now, output)
+        if links_changed:
+            self._follow_links(now, output)
         self._sends.continue_waiting(part, now, output)
         return output
 
--- a/tests/forwarding/test_reachability.py
+++ b/tests/forwarding/test_reachability.py
@@ -265,3 +265,37 @@
     world.run(1.0)
     assert world.board.counters['crash_checks']
     assert not list_crashes(world)
+
+
+def list_attempts(world, service):
+    return [
+        attempt
+        for attempt, server in world.attempts.items()
+        if server.entry.service == service
+    ]
+
+
+def test_a_reply_that_ends_a_check_may_belong_to_a_request_that_ends_with_it():
+    """The held part fails, as no server of its shard wants requests."""
+    world = worlds.World(coverage_floor=1.0)
+    for server in world.servers.values():
+        server.work_s = 0.1
+    asked = [world.ask() for _ in range(reachability.MIN_FAILURES)]
+    running = list_attempts(world, 's0')
+    for server in world.servers.values():
+        server.mode, server.wait_s = 'full', 2.0
+    asked.append(world.ask(world.plain))
+    world.run(0.02)
+    for attempt in list_attempts(world, 's2'):
+        world.reply(attempt, 200, False)
+    for attempt in running:
+        world.lose(attempt, True, 'closed')
+    assert world.board.reachability.is_checking
+    world.reply(list_attempts(world, 's1')[-1], 200, False)
+    world.run(2.0)
+    assert set(world.answers) == set(asked)
+    assert not world.board.exchanges.exchanges
+    assert not world.board.exchanges.attempts
+    assert not any(
+        server.in_flight for server in world.board.registry.list_servers()
+    )
--- a/tests/forwarding/worlds.py
+++ b/tests/forwarding/worlds.py
@@ -70,7 +70,15 @@
 class World:
     """One node, its servers and the clock."""
 
-    def __init__(self, shards=3, replicas=3, seed=1, limits=LIMITS, slots=3):
+    def __init__(
+        self,
+        shards=3,
+        replicas=3,
+        seed=1,
+        limits=LIMITS,
+        slots=3,
+        **fields,
+    ):
         self.now = 100.0
         self.board = boards.Board('a', random.Random(seed), limits)
         self.exchanges = exchanges.Exchanges(self.board)
@@ -94,7 +102,7 @@
                     name, f'{name}-{number}', 'abc'[number % 3], slots
                 )
         self.names = tuple(names)
-        self.set_table(1)
+        self.set_table(1, **fields)
 
     def set_table(self, version, connections=31, **fields):
         """Sets a table with one scattered and one plain route."""
