Confine an unexpected error to the request that was being worked on

Cause: decisions change the state first and return their actions last, so an exception loses the actions of all requests concerned; they are gone from the state, so no deadline ends them. The same held in the shell: an error while one action was carried out dropped the rest of the list, one in a task that connects was swallowed with its attempt, one in reading a reply left its attempt unreported, one in probing left the links in doubt. Actions of a loss that was reported while a list was carried out came before the rest of that list, which could still name the request that they ended.

Change: actions decided before an error are kept in Exchanges and carried out. pending.py confines each request, reply, loss, withdrawal, check, round of probes, timer, relay event and action: the error is counted (errors_PLACE) and logged with the request's id, the request is ended by Exchanges.discard (attempts closed, slots and in-flight counts given back) and answered: 502 if it was given to a connection, otherwise 503. Tasks and protocols of upstream and relays report their errors the same way. Actions are carried out in the order of their decisions. A request still open 0.2 s after its time is ended by the host, whatever the decisions do (errors_overdue). Gauges: requests_open, attempts_open, slots_held.

Why it works: the end and the answer of a request no longer depend on the decision that failed.

--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -36,6 +36,7 @@
 DEADLINE_MARGIN_S = 0.02  # at least, for the answer to reach the caller
 MAX_SERVER_PAUSE_S = 0.25  # a server that is silent for longer is slow
 TIMERS_OF_NODE = frozenset(('rate', 'reopening', 'doubt', 'probe'))
+TIMERS_OF_ATTEMPT = frozenset(('hedge', 'linger'))
 
 
 class Exchanges:
@@ -44,11 +45,16 @@
     Each kind of decision has a module of its own: who is refused at once
     (`refusals`), which server gets a part (`sends`), when it is sent again
     (`repeats`) and how it ends (`endings`).
+
+    Actions that were decided before an unexpected error are kept for
+    `take_output`: state and actions stay in step.
     """
 
     def __init__(self, board: boards.Board):
         self._board = board
         self._state = board.exchanges
+        self._output: boards.Actions = []
+        self._due: timers.Timer | None = None
         self._timers = timers.Timers()
         self._wait_queues = waitqueues.WaitQueues()
         self._delays = delays.Delays()
@@ -124,16 +130,16 @@
             used_s is not None,
         )
         self._state.exchanges[exchange_id] = exchange
-        output: boards.Actions = []
+        output = self._output
         self._board.counters['requests'] += 1
         parts_out = self._refusals.list_parts_out(exchange, now)
         refusal = self._refusals.find_refusal(exchange, parts_out, now)
         if refusal == 'cut_off' and self._relays.pass_on(exchange, now, output):
             self._timers.start(exchange.deadline_at, 'deadline', exchange_id)
-            return output
+            return self.take_output()
         if refusal:
             self._endings.finish(exchange, refusal, now, output)
-            return output
+            return self.take_output()
         for part, reason in parts_out:
             self._endings.fail_part(part, reason, now, output)
         for part in exchange.parts:
@@ -144,16 +150,16 @@
             self._timers.start(exchange.deadline_at, 'deadline', exchange_id)
             if route.shards:
                 self._timers.start(exchange.answer_at, 'objective', exchange_id)
-        return output
+        return self.take_output()
 
     def handle_reply(
         self, attempt_id: int, reply: actions.Reply, now: float
     ) -> boards.Actions:
         """Handles the complete reply to an attempt."""
-        output: boards.Actions = []
+        output = self._output
         attempt = self._endings.end_attempt(attempt_id)
         if attempt is None:
-            return output
+            return self.take_output()
         part = attempt.part
         server = attempt.server
         links_changed = self._board.reachability.record_reply(now)
@@ -180,7 +186,7 @@
         if links_changed:
             self._follow_links(now, output)
         self._sends.continue_waiting(part, now, output)
-        return output
+        return self.take_output()
 
     def handle_loss(
         self, attempt_id: int, written: bool, cause: str, now: float
@@ -196,10 +202,10 @@
                 connection, and an unwritten request counts as refused.
             now: Monotonic seconds.
         """
-        output: boards.Actions = []
+        output = self._output
         attempt = self._endings.end_attempt(attempt_id)
         if attempt is None:
-            return output
+            return self.take_output()
         part = attempt.part
         server_id = attempt.server.entry.server_id
         self._observations.record_loss(attempt.server, written, cause, now)
@@ -220,7 +226,7 @@
                 part.sends -= 1
             self._repeats.retry_part(part, cause, written, now, output)
         self._sends.continue_waiting(part, now, output)
-        return output
+        return self.take_output()
 
     def handle_check(
         self, server_id: str, born_ms: int, crashed: bool, now: float
@@ -233,11 +239,11 @@
             crashed: Whether it refused a new connection.
             now: Monotonic seconds.
         """
-        output: boards.Actions = []
+        output = self._output
         if self._links.finish_check((server_id, born_ms), crashed):
             self._finish_check(server_id, born_ms, crashed, now, output)
         self._follow_verdicts(now, output)
-        return output
+        return self.take_output()
 
     def handle_probes(
         self, reached: bool, refused: bool, now: float
@@ -250,22 +256,22 @@
                 more timed out.
             now: Monotonic seconds.
         """
-        output: boards.Actions = []
+        output = self._output
         if self._links.finish_round(reached, refused, now):
             self._follow_links(now, output)
         self._follow_verdicts(now, output)
-        return output
+        return self.take_output()
 
     def handle_relay_reply(
         self, exchange_id: int, reply: actions.Reply, now: float
     ) -> boards.Actions:
         """Handles the answer of a node that a request was passed on to."""
-        output: boards.Actions = []
+        output = self._output
         exchange = self._state.exchanges.get(exchange_id)
         if exchange is not None:
             self._relays.handle_reply(exchange, reply, now, output)
             self._forget_relay(exchange_id)
-        return output
+        return self.take_output()
 
     def handle_relay_loss(
         self, exchange_id: int, written: bool, now: float
@@ -277,12 +283,12 @@
             written: Whether any byte of it may have reached the node.
             now: Monotonic seconds.
         """
-        output: boards.Actions = []
+        output = self._output
         exchange = self._state.exchanges.get(exchange_id)
         if exchange is not None:
             self._relays.handle_loss(exchange, written, now, output)
             self._forget_relay(exchange_id)
-        return output
+        return self.take_output()
 
     def _forget_relay(self, exchange_id: int) -> None:
         if exchange_id not in self._state.exchanges:
@@ -290,16 +296,16 @@
 
     def hear_cut(self, now: float) -> boards.Actions:
         """Handles that another node is cut off from all servers."""
-        output: boards.Actions = []
+        output = self._output
         self._links.hear_cut(now, output)
-        return output
+        return self.take_output()
 
     def handle_ended_servers(self, now: float) -> boards.Actions:
         """Drops the attempts on servers that have ended.
 
         Their requests are suspects: the servers may have crashed under them.
         """
-        output: boards.Actions = []
+        output = self._output
         ended, self._board.ended_servers = self._board.ended_servers, []
         for entry, certain in ended:
             for fingerprint in self._isolation.record_end(entry, now):
@@ -310,7 +316,7 @@
                     for attempt_id, attempt in self._state.attempts.items()
                     if attempt.server.entry.incarnation == entry.incarnation
                 ]
-        return output
+        return self.take_output()
 
     def apply_notices(
         self,
@@ -318,7 +324,7 @@
         now: float,
     ) -> boards.Actions:
         """Applies another node's notices about requests that crash servers."""
-        output: boards.Actions = []
+        output = self._output
         notices = tuple(notices)
         for notice in notices:
             for server_id, born_ms, age_s, _ in notice.crashes:
@@ -328,14 +334,14 @@
         for fingerprint in self._board.quarantine.apply_notices(notices, now):
             self._repeats.isolate(fingerprint, now, output)
             self._sends.release(fingerprint, now, output)
-        return output
+        return self.take_output()
 
     def withdraw(self, exchange_id: int, now: float) -> boards.Actions:
         """Handles a caller that disconnected before the answer."""
-        output: boards.Actions = []
+        output = self._output
         exchange = self._state.exchanges.get(exchange_id)
         if exchange is None:
-            return output
+            return self.take_output()
         self._board.counters['withdrawn'] += 1
         del self._state.exchanges[exchange_id]
         if exchange.passed_on:
@@ -356,7 +362,7 @@
         endings.release_parts(exchange)
         for part in parts:
             self._sends.continue_waiting(part, now, output)
-        return output
+        return self.take_output()
 
     def stop(self, now: float) -> boards.Actions:
         """Answers every caller before a shutdown.
@@ -364,15 +370,15 @@
         The answers are those for a deadline that has passed, but with the
         reason `stopping`.
         """
-        output: boards.Actions = []
+        output = self._output
         for exchange in tuple(self._state.exchanges.values()):
             self._endings.finish(exchange, 'stopping', now, output)
             self._relays.forget(exchange.exchange_id)
-        return output
+        return self.take_output()
 
     def handle_due_timers(self, now: float) -> boards.Actions:
         """Handles the timers that are due."""
-        output: boards.Actions = []
+        output = self._output
         handlers: dict[str, collections.abc.Callable] = {
             'hedge': self._repeats.handle_hedge_timer,
             'round': self._sends.handle_round_timer,
@@ -385,9 +391,63 @@
             'linger': self._handle_linger_timer,
         }
         for timer in self._timers.pop_due(now):
+            self._due = timer
             handlers[timer.kind](timer.key, now, output)
+        self._due = None
+        return self.take_output()
+
+    def take_output(self) -> boards.Actions:
+        """Returns the actions that were decided and not returned yet."""
+        output, self._output = self._output, []
         return output
 
+    def take_failed_timer(self) -> int:
+        """Returns the request whose timer was interrupted by an error, or 0."""
+        timer, self._due = self._due, None
+        if timer is None or timer.kind in TIMERS_OF_NODE:
+            return 0
+        if timer.kind not in TIMERS_OF_ATTEMPT:
+            return int(timer.key)
+        return self.find_request(int(timer.key))
+
+    def find_request(self, attempt_id: int) -> int:
+        """Returns the request of an attempt, or 0 if the attempt is gone."""
+        attempt = self._state.attempts.get(attempt_id)
+        return 0 if attempt is None else attempt.part.exchange.exchange_id
+
+    def discard(self, exchange_id: int, now: float) -> boards.Actions:
+        """Ends a request without an answer, and its attempts.
+
+        It may be in any state, as an unexpected error has interrupted a
+        decision about it.
+        """
+        output = self._output
+        exchange = self._state.exchanges.pop(exchange_id, None)
+        attempts = [
+            attempt
+            for attempt in self._state.attempts.values()
+            if attempt.part.exchange.exchange_id == exchange_id
+        ]
+        for attempt in attempts:
+            attempt.abandoned = True
+            self._endings.close(attempt, now, output)
+        output.append(actions.CloseRelay(exchange_id))
+        self._relays.forget(exchange_id)
+        parts = [attempt.part for attempt in attempts]
+        if exchange is not None:
+            exchange.passed_on = False
+            parts += exchange.parts
+            for part in exchange.parts:
+                self._endings.refund_retry(part)
+            endings.release_parts(exchange)
+        for part in parts:
+            self._sends.continue_waiting(part, now, output)
+        return self.take_output()
+
+    def discard_probes(self, now: float) -> None:
+        """Ends a round of probes whose result could not be handled."""
+        self._links.discard_round(now)
+
     def next_due(self) -> float | None:
         """Returns when the next relevant timer is due."""
         return self._timers.find_next_due(self._is_timer_relevant)
@@ -411,10 +471,10 @@
 
     def send_queued_parts(self, now: float) -> boards.Actions:
         """Sends waiting parts after servers were added."""
-        output: boards.Actions = []
+        output = self._output
         for service in self._wait_queues.list_services():
             self._sends.send_waiting(service, now, output)
-        return output
+        return self.take_output()
 
     def apply_rate_reports(
         self,
@@ -548,7 +608,7 @@
         """Returns whether the attempt or exchange of a timer still exists."""
         if timer.kind in TIMERS_OF_NODE:
             return True  # for whatever waits then
-        is_for_attempt = timer.kind in ('hedge', 'linger')
+        is_for_attempt = timer.kind in TIMERS_OF_ATTEMPT
         state = self._state
         return timer.key in (
             state.attempts if is_for_attempt else state.exchanges
--- a/packages/core/balsamshore_core/forwarding/links.py
+++ b/packages/core/balsamshore_core/forwarding/links.py
@@ -74,6 +74,13 @@
             self._schedule_round(next_at)
         return changed
 
+    def discard_round(self, now: float) -> None:
+        """Ends a round whose result is lost; another one follows if needed."""
+        self._reachability.discard_round()
+        next_at = self._reachability.find_next_round(now)
+        if next_at is not None:
+            self._schedule_round(next_at)
+
     def start_check(
         self,
         incarnation: Incarnation,
--- a/packages/core/balsamshore_core/forwarding/reachability.py
+++ b/packages/core/balsamshore_core/forwarding/reachability.py
@@ -175,6 +175,10 @@
             return False
         return self._apply(Event.LOST, now)
 
+    def discard_round(self) -> None:
+        """Records that the result of a round of probes is lost."""
+        self.is_probing = False
+
     def find_next_round(self, now: float) -> float | None:
         """Returns when the next round of probes starts, or None for none."""
         if self.state is State.REACHABLE or self.is_probing:
--- a/packages/core/balsamshore_core/forwarding/sends.py
+++ b/packages/core/balsamshore_core/forwarding/sends.py
@@ -181,10 +181,10 @@
         self._state.next_attempt_id += 1
         alone = self._board.quarantine.is_suspected(exchange.fingerprint)
         attempt = boards.Attempt(attempt_id, part, server, now, alone)
-        self._state.attempts[attempt_id] = attempt
-        server.in_flight += 1
         if server.limit is not None:
             server.limit.spend(self._board.limit_share, now)
+        self._state.attempts[attempt_id] = attempt
+        server.in_flight += 1
         server.suspects += alone
         exchange.running += 1
         server_id = server.entry.server_id
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -333,6 +333,10 @@
         for servers in self.by_service.values():
             yield from servers.values()
 
+    def count_in_flight(self) -> int:
+        """Counts the attempts that run, or may run, on usable servers."""
+        return sum(server.in_flight for server in self.list_servers())
+
     def put(self, entry: ServerEntry, now: float) -> None:
         """Adds or updates a server; removes a draining server."""
         server = self.find(entry.server_id)
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -148,6 +148,7 @@
             self._describe_view,
             self._reports.spread_quarantine,
             self._update_record,
+            self._faults,
         )
         self._updates = updates.Updates(
             settings.host,
@@ -341,6 +342,7 @@
         """Lists the regular work in its order, with its intervals in ticks."""
         return (
             (1, self._begin_tick),
+            (1, self._end_overdue),
             (TICKS_PER_HEARTBEAT, self._send_heartbeats),
             (TICKS_PER_HEARTBEAT, self._update_senders),
             (TICKS_PER_HEARTBEAT, self._update_quarantine),
@@ -361,6 +363,9 @@
         if now >= self._accept_deadline:
             self._start_accepting()
 
+    def _end_overdue(self, _: float) -> None:
+        self._requests.end_overdue()
+
     def _send_heartbeats(self, now: float) -> None:
         messages = self.fleet.tick(now)
         for message in messages:
@@ -469,7 +474,7 @@
                 self._stopped.set()
         if elapsed_s >= self.settings.grace_s - KILL_MARGIN_S:
             with self._faults.confine('shutdown'):
-                self._requests.perform(self.exchanges.stop(now))
+                self._requests.stop()
             self._stopped.set()
 
     def list_gauges(self) -> dict[str, float]:
@@ -484,6 +489,9 @@
             'store_era': catalogs.find_era(self.catalog.revision),
             'catalog_age_seconds': self._store_reads.find_checked_age(),
             'requests_held': self.exchanges.count_open(),
+            'requests_open': self._requests.count(),
+            'attempts_open': len(self.board.exchanges.attempts),
+            'slots_held': self.board.registry.count_in_flight(),
             'connections_busy': busy,
             'connections_idle': idle,
             'members_alive': len(self.fleet.list_alive(now)) + 1,
--- a/packages/node/balsamshore_node/forwarding/pending.py
+++ b/packages/node/balsamshore_node/forwarding/pending.py
@@ -1,10 +1,16 @@
 """Callers' requests without an answer: from reading one to its answer.
 
-Events about them go to the core; its actions are carried out here.
+Events about them go to the core; its actions are carried out here, in the order
+in which they were decided.
+
+An unexpected error costs only the request that was being worked on: it is ended
+and answered here. So is a request that is still open after its time.
 """
 
 import asyncio
+import collections
 import collections.abc
+import typing
 from typing import NamedTuple
 
 import loguru
@@ -17,6 +23,7 @@
 from balsamshore_core.forwarding import servers
 from balsamshore_node.forwarding import callers
 from balsamshore_node.forwarding import dialects
+from balsamshore_node.forwarding import faults
 from balsamshore_node.forwarding import logs
 from balsamshore_node.forwarding import messages
 from balsamshore_node.forwarding import metrics as metrics_page
@@ -26,6 +33,8 @@
 NEWS_DELAY_S = 0.005  # servers often crash together
 MAX_LOGGED_PATH = 120  # characters; without the query, which may be private
 REFUSED_RETRY_S = 0.4  # Retry-After before the first configuration, or late
+OVERDUE_S = 0.2  # after its time, a request without an answer is ended here
+TIMER_RETRY_S = 0.01  # after an error in the handling of timers
 
 
 class PendingRequest(NamedTuple):
@@ -36,6 +45,7 @@
     route: routes.Route
     arrived_at: float
     fingerprint: str
+    ends_at: float
 
 
 class PendingRequests:
@@ -60,6 +70,7 @@
         describe_view: collections.abc.Callable[[], dict[str, float]],
         spread_quarantine: collections.abc.Callable[[], None],
         publish_state: collections.abc.Callable[[], None],
+        node_faults: faults.Faults,
     ):
         """Creates the state without opening sockets.
 
@@ -74,6 +85,7 @@
             spread_quarantine: Sends to other nodes under which requests servers
                 crashed.
             publish_state: Sends this node's state to other nodes.
+            node_faults: Records unexpected errors.
         """
         self.board = board
         self.closing = False
@@ -85,11 +97,16 @@
         self._describe_view = describe_view
         self._spread_quarantine = spread_quarantine
         self._publish_state = publish_state
+        self._faults = node_faults
         self._pending: dict[int, PendingRequest] = {}
+        self._sent: set[int] = set()  # pending, and given to a connection
+        self._actions: collections.deque[typing.Any] = collections.deque()
+        self._performing = False
         self._next_exchange_id = 1
         self._answer_count = 0
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_at = 0.0
+        self._timers_from = 0.0  # later than now after an error
 
     def open(
         self, loop: asyncio.AbstractEventLoop, source_address: str
@@ -110,12 +127,14 @@
             self._handle_check,
             self._handle_probes,
             source_address,
+            self._record_connection_error,
         )
         self._relays = relays.Relays(
             loop,
             self._dialect,
             self._handle_relay_reply,
             self._handle_relay_loss,
+            self._record_relay_error,
         )
         self._performers: dict[type, collections.abc.Callable] = {
             actions.Send: self._send_attempt,
@@ -165,6 +184,19 @@
         self, connection: callers.Connection, raw: messages.RawRequest
     ) -> None:
         """Starts a caller's request."""
+        try:
+            self._start(connection, raw)
+        except Exception as error:
+            exchange_id = connection.exchange_id
+            self._record_error(error, 'request', exchange_id)
+            if exchange_id in self._pending:
+                self._give_up(exchange_id)
+            elif connection.busy:
+                answer_plainly(connection, 503)
+
+    def _start(
+        self, connection: callers.Connection, raw: messages.RawRequest
+    ) -> None:
         now = self.now()
         request = self._dialect.read_request(
             raw.method, raw.target, raw.headers, raw.read_body()
@@ -192,7 +224,12 @@
             request.body,
         )
         self._pending[exchange_id] = PendingRequest(
-            connection, request, route, now, fingerprint
+            connection,
+            request,
+            route,
+            now,
+            fingerprint,
+            now + min(deadline_s, route.timeout_s) + OVERDUE_S,
         )
         self.perform(
             self._exchanges.start(
@@ -208,12 +245,36 @@
 
     def handle_disconnect(self, connection: callers.Connection) -> None:
         """Withdraws the request of a disconnected caller."""
-        pending = self._pending.pop(connection.exchange_id, None)
-        if pending is not None:
-            self.perform(
-                self._exchanges.withdraw(connection.exchange_id, self.now())
+        exchange_id = connection.exchange_id
+        if self._pending.pop(exchange_id, None) is not None:
+            self._sent.discard(exchange_id)
+            self._decide(
+                'withdrawal', exchange_id, self._exchanges.withdraw, exchange_id
             )
 
+    def stop(self) -> None:
+        """Answers every caller before a shutdown."""
+        self._decide('stop', 0, self._exchanges.stop)
+        for exchange_id in tuple(self._pending):
+            self._give_up(exchange_id)
+
+    def end_overdue(self) -> None:
+        """Ends requests that are still open though their time has passed.
+
+        The timers come first: after a pause of this process they are due too.
+        """
+        self._handle_due_timers()
+        now = self.now()
+        overdue = [
+            exchange_id
+            for exchange_id, pending in self._pending.items()
+            if pending.ends_at <= now
+        ]
+        for exchange_id in overdue:
+            error = RuntimeError('no answer was decided in time')
+            self._record_error(error, 'overdue', exchange_id)
+            self._give_up(exchange_id)
+
     def record_rejection(
         self, connection: callers.Connection, error_status: int
     ) -> None:
@@ -224,11 +285,114 @@
         )
 
     def perform(self, output: boards.Actions) -> None:
-        """Carries out the core's actions."""
-        for action in output:
-            self._performers[type(action)](action)
+        """Carries out the core's actions, after those decided before."""
+        self._actions.extend(output)
+        if self._performing:
+            return
+        self._performing = True
+        try:
+            while self._actions:
+                self._perform_action(self._actions.popleft())
+        finally:
+            self._performing = False
         self._schedule_timer()
 
+    def _perform_action(self, action: typing.Any) -> None:
+        try:
+            self._performers[type(action)](action)
+        except Exception as error:
+            exchange_id = getattr(action, 'exchange_id', 0)
+            self._record_error(
+                error, 'action', exchange_id, action=type(action).__name__
+            )
+            self._give_up(exchange_id)
+
+    def _decide(
+        self,
+        place: str,
+        exchange_id: int,
+        decide: collections.abc.Callable[..., boards.Actions],
+        *arguments: typing.Any,
+    ) -> bool:
+        """Lets the core decide about an event; an error costs its request.
+
+        Args:
+            place: The kind of the event.
+            exchange_id: The request that it concerns, or 0.
+            decide: The decision of the core.
+            *arguments: Its arguments before the time.
+
+        Returns:
+            Whether there was no error.
+        """
+        try:
+            output = decide(*arguments, self.now())
+        except Exception as error:
+            self._record_error(error, place, exchange_id)
+            self._give_up(exchange_id)
+            return False
+        self.perform(output)
+        return True
+
+    def _give_up(self, exchange_id: int) -> None:
+        """Ends a request, if any, after an unexpected error.
+
+        What was decided before the error is still done. Without an answer among
+        that, the request is answered here.
+        """
+        output = self._exchanges.take_output()
+        if exchange_id:
+            try:
+                output += self._exchanges.discard(exchange_id, self.now())
+            except Exception as error:
+                self._record_error(error, 'discard', exchange_id)
+                output += self._exchanges.take_output()
+        self.perform(output)
+        if exchange_id in self._pending and not any(
+            isinstance(action, actions.Answer)
+            and action.exchange_id == exchange_id
+            for action in self._actions
+        ):
+            self._answer_after_error(exchange_id)
+
+    def _answer_after_error(self, exchange_id: int) -> None:
+        ran = exchange_id in self._sent
+        answer = actions.Answer(
+            exchange_id,
+            'unknown' if ran else 'not run',
+            'error',
+            retry_after_s=0.0 if ran else REFUSED_RETRY_S,
+        )
+        try:
+            self._send_answer(answer)
+        except Exception as error:
+            self._record_error(error, 'answer', exchange_id)
+            pending = self._pending.pop(exchange_id, None)
+            self._sent.discard(exchange_id)
+            if pending is not None:
+                answer_plainly(pending.connection, 502 if ran else 503)
+
+    def _record_error(
+        self,
+        error: Exception,
+        place: str,
+        exchange_id: int,
+        **details: typing.Any,
+    ) -> None:
+        pending = self._pending.get(exchange_id)
+        if pending is not None:
+            details['request_id'] = pending.request.request_id
+        self._faults.record(error, place, **details)
+
+    def _record_connection_error(
+        self, error: Exception, server_id: str, attempt_id: int
+    ) -> None:
+        exchange_id = self._exchanges.find_request(attempt_id)
+        self._record_error(error, 'connection', exchange_id, server=server_id)
+
+    def _record_relay_error(self, error: Exception, exchange_id: int) -> None:
+        self._record_error(error, 'relay', exchange_id)
+
     def _refuse(
         self,
         connection: callers.Connection,
@@ -243,39 +407,54 @@
             status=status,
             reason=reason,
         ).warning(f'{request.method} {request.host}{request.target}')
-        headers = []
-        if status == 503:
-            headers.append(('Retry-After', f'{REFUSED_RETRY_S:.3f}'))
-        closing = self.closing and not connection.has_more
-        connection.send_answer(
-            callers.encode_response(status, headers=headers, closing=closing),
-            closing,
+        answer_plainly(
+            connection, status, self.closing and not connection.has_more
         )
 
     def _send_attempt(self, action: actions.Send) -> None:
-        self.pool.send(action, self._pending[action.exchange_id].request)
+        if not self._exchanges.find_request(action.attempt_id):
+            return  # closed by a decision that followed at once
+        request = self._pending[action.exchange_id].request
+        self._sent.add(action.exchange_id)
+        try:
+            self.pool.send(action, request)
+        except Exception:
+            self.pool.close(action.attempt_id)
+            raise
 
     def _pass_on(self, action: actions.PassOn) -> None:
-        self._relays.send(action, self._pending[action.exchange_id].request)
+        pending = self._pending.get(action.exchange_id)
+        if pending is not None:
+            self._sent.add(action.exchange_id)
+            self._relays.send(action, pending.request)
 
     def _handle_relay_reply(
         self, exchange_id: int, reply: actions.Reply
     ) -> None:
-        self.perform(
-            self._exchanges.handle_relay_reply(exchange_id, reply, self.now())
+        self._decide(
+            'relay_reply',
+            exchange_id,
+            self._exchanges.handle_relay_reply,
+            exchange_id,
+            reply,
         )
 
     def _handle_relay_loss(self, exchange_id: int, written: bool) -> None:
-        self.perform(
-            self._exchanges.handle_relay_loss(exchange_id, written, self.now())
+        self._decide(
+            'relay_loss',
+            exchange_id,
+            self._exchanges.handle_relay_loss,
+            exchange_id,
+            written,
         )
 
     def _send_answer(self, answer: actions.Answer) -> None:
-        pending = self._pending.pop(answer.exchange_id)
+        pending = self._pending[answer.exchange_id]
         closing = self.closing and not pending.connection.has_more
-        pending.connection.send_answer(
-            self._dialect.encode_answer(answer, closing), closing
-        )
+        payload = self._dialect.encode_answer(answer, closing)
+        del self._pending[answer.exchange_id]
+        self._sent.discard(answer.exchange_id)
+        pending.connection.send_answer(payload, closing)
         took_s = self.now() - pending.arrived_at
         self._metrics.add_answer(
             pending.route.name, answer.outcome, answer.reason, took_s
@@ -315,9 +494,14 @@
         ).info('answered')
 
     def _schedule_timer(self) -> None:
-        due = self._exchanges.next_due()
+        try:
+            due = self._exchanges.next_due()
+        except Exception as error:
+            self._faults.record(error, 'schedule')
+            return  # until the next look for what is overdue
         if due is None:
             return
+        due = max(due, self._timers_from)
         if self._timer is not None:
             if self._timer_due_at <= due:
                 return
@@ -329,28 +513,68 @@
 
     def _handle_timer(self) -> None:
         self._timer = None
-        self.perform(self._exchanges.handle_due_timers(self.now()))
+        self._handle_due_timers()
+
+    def _handle_due_timers(self) -> None:
+        """Handles the timers that are due; the others after one that fails."""
+        try:
+            output = self._exchanges.handle_due_timers(self.now())
+        except Exception as error:
+            exchange_id = self._exchanges.take_failed_timer()
+            self._record_error(error, 'timer', exchange_id)
+            self._timers_from = self.now() + TIMER_RETRY_S
+            self._give_up(exchange_id)
+            return
+        self.perform(output)
 
     def _handle_reply(self, attempt_id: int, reply: actions.Reply) -> None:
-        self.perform(
-            self._exchanges.handle_reply(attempt_id, reply, self.now())
+        self._decide(
+            'reply',
+            self._exchanges.find_request(attempt_id),
+            self._exchanges.handle_reply,
+            attempt_id,
+            reply,
         )
 
     def _handle_loss(self, attempt_id: int, written: bool, cause: str) -> None:
-        self.perform(
-            self._exchanges.handle_loss(attempt_id, written, cause, self.now())
+        self._decide(
+            'loss',
+            self._exchanges.find_request(attempt_id),
+            self._exchanges.handle_loss,
+            attempt_id,
+            written,
+            cause,
         )
 
     def _handle_probes(self, reached: bool, refused: bool) -> None:
-        self.perform(
-            self._exchanges.handle_probes(reached, refused, self.now())
+        handled = self._decide(
+            'probes', 0, self._exchanges.handle_probes, reached, refused
         )
+        if not handled:
+            self._exchanges.discard_probes(self.now())
+            self._schedule_timer()
         if reached:
             self._loop.call_later(NEWS_DELAY_S, self._spread_quarantine)
 
     def _handle_check(self, entry: servers.ServerEntry, crashed: bool) -> None:
-        self.perform(
-            self._exchanges.handle_check(
-                entry.server_id, entry.born_ms, crashed, self.now()
-            )
+        self._decide(
+            'check',
+            0,
+            self._exchanges.handle_check,
+            entry.server_id,
+            entry.born_ms,
+            crashed,
         )
+
+
+def answer_plainly(
+    connection: callers.Connection, status: int, closing: bool = True
+) -> None:
+    """Answers a request with a status of this node only."""
+    headers = []
+    if status == 503:
+        headers.append(('Retry-After', f'{REFUSED_RETRY_S:.3f}'))
+    connection.send_answer(
+        callers.encode_response(status, headers=headers, closing=closing),
+        closing,
+    )
--- a/packages/node/balsamshore_node/forwarding/relays.py
+++ b/packages/node/balsamshore_node/forwarding/relays.py
@@ -15,6 +15,7 @@
 
 OnReply = collections.abc.Callable[[int, actions.Reply], None]
 OnLoss = collections.abc.Callable[[int, bool], None]
+OnError = collections.abc.Callable[[Exception, int], None]
 
 
 class Connection(asyncio.Protocol):
@@ -35,9 +36,14 @@
         if self.closed:
             self.transport.abort()
             return
-        sockets.enable_dead_peer_detection(transport.get_extra_info('socket'))
-        self.written = True
-        self.transport.write(self._payload)
+        try:
+            sockets.enable_dead_peer_detection(
+                transport.get_extra_info('socket')
+            )
+            self.written = True
+            self.transport.write(self._payload)
+        except Exception as error:
+            self._owner.fail(self, error)
 
     def data_received(self, data: bytes) -> None:
         """Reads the answer; see `asyncio`."""
@@ -51,6 +57,9 @@
             )
             self._owner.lose(self)
             return
+        except Exception as error:
+            self._owner.fail(self, error)
+            return
         if self._reader.complete:
             self._owner.finish(self, self._reader)
 
@@ -75,11 +84,13 @@
         dialect: dialects.Dialect,
         on_reply: OnReply,
         on_loss: OnLoss,
+        on_error: OnError,
     ):
         self._loop = loop
         self._dialect = dialect
         self._on_reply = on_reply
         self._on_loss = on_loss
+        self._on_error = on_error
         self._connections: dict[int, Connection] = {}
         self._tasks: set[asyncio.Task] = set()
 
@@ -106,9 +117,13 @@
         self, connection: Connection, reader: messages.ReplyReader
     ) -> None:
         """Reports a complete answer."""
-        reply = self._dialect.read_relayed_answer(
-            reader.status, reader.headers, reader.read_body()
-        )
+        try:
+            reply = self._dialect.read_relayed_answer(
+                reader.status, reader.headers, reader.read_body()
+            )
+        except Exception as error:
+            self.fail(connection, error)
+            return
         self._connections.pop(connection.exchange_id, None)
         connection.abort()
         self._on_reply(connection.exchange_id, reply)
@@ -121,9 +136,14 @@
         connection.abort()
         self._on_loss(connection.exchange_id, connection.written)
 
+    def fail(self, connection: Connection, error: Exception) -> None:
+        """Records an unexpected error; the connection is lost."""
+        self._on_error(error, connection.exchange_id)
+        self.lose(connection)
+
     async def _connect(self, connection: Connection, address: str) -> None:
-        host, port = sockets.split_address(address)
         try:
+            host, port = sockets.split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._loop.create_connection(
                     lambda: connection, host, port
@@ -133,3 +153,5 @@
                 f'cannot pass a request on: {error!r}'
             )
             self.lose(connection)
+        except Exception as error:
+            self.fail(connection, error)
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -34,6 +34,8 @@
 OnLoss = collections.abc.Callable[[int, bool, str], None]
 OnCheck = collections.abc.Callable[[servers.ServerEntry, bool], None]
 OnProbes = collections.abc.Callable[[bool, bool], None]
+# With the id of the server, and of the attempt or 0.
+OnError = collections.abc.Callable[[Exception, str, int], None]
 
 
 class Connection(asyncio.Protocol):
@@ -108,6 +110,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Reads a reply; drops the connection on unrequested bytes."""
+        try:
+            self._read(data)
+        except Exception as error:
+            self._pool.fail(self, error)
+
+    def _read(self, data: bytes) -> None:
         reader = self._reader
         if reader is None or not self.attempt_id:
             self._pool.drop(self, 'stray')
@@ -128,8 +136,11 @@
     def eof_received(self) -> bool:
         """Completes a reply without a length; see `asyncio`."""
         reader = self._reader
-        if reader is not None and self.attempt_id and reader.handle_eof():
-            self._complete(reader)
+        try:
+            if reader is not None and self.attempt_id and reader.handle_eof():
+                self._complete(reader)
+        except Exception as error:
+            self._pool.fail(self, error)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -144,16 +155,16 @@
     def _complete(self, reader: messages.ReplyReader) -> None:
         self._reader = None
         self._pool.hold(self, 0)
-        attempt_id, self.attempt_id = self.attempt_id, 0
-        request, self.request = self.request, None
+        request = self.request
         assert request is not None
         reply = self._pool.dialect.read_reply(
             reader.status, reader.headers, reader.read_body(), request
         )
         if reply is None:
-            self.attempt_id = attempt_id
             self._pool.drop(self, 'crossed')
             return
+        attempt_id, self.attempt_id = self.attempt_id, 0
+        self.request = None
         if reply.refused:
             self.refused_ids.add(request.request_id)
         reusable = not (
@@ -184,6 +195,7 @@
         on_check: OnCheck,
         on_probes: OnProbes,
         source_address: str = '',
+        on_error: OnError | None = None,
     ):
         self.dialect = dialect
         self.opened = 0
@@ -193,6 +205,7 @@
         self._on_loss = on_loss
         self._on_check = on_check
         self._on_probes = on_probes
+        self._on_error = on_error or _raise_error
         self._source = (source_address, 0) if source_address else None
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._busy: dict[int, Connection] = {}
@@ -287,6 +300,12 @@
         if attempt_id and self._busy.pop(attempt_id, None) is not None:
             self._on_loss(attempt_id, connection.written, cause)
 
+    def fail(self, connection: Connection, error: Exception) -> None:
+        """Records an unexpected error; the attempt, if any, is lost."""
+        server_id = connection.entry.server_id
+        self._on_error(error, server_id, connection.attempt_id)
+        self.drop(connection, 'error')
+
     def hold(self, connection: Connection, held_bytes: int) -> None:
         """Records the size of an incomplete reply.
 
@@ -342,6 +361,17 @@
         connection: Connection,
         action: actions.Send,
         request: dialects.CallerRequest,
+    ) -> None:
+        try:
+            await self._connect_and_send(connection, action, request)
+        except Exception as error:
+            self.fail(connection, error)
+
+    async def _connect_and_send(
+        self,
+        connection: Connection,
+        action: actions.Send,
+        request: dialects.CallerRequest,
     ) -> None:
         host, port = sockets.split_address(connection.entry.address)
         started_at = self._read_clock()
@@ -407,17 +437,20 @@
         except OSError as error:
             # Without free descriptors nothing shows that links are lost.
             return error.errno in (errno.EMFILE, errno.ENFILE)
+        except Exception as error:
+            self._on_error(error, entry.server_id, 0)
+            return True  # nor after an error of this node
         transport.abort()
         return True
 
     async def _check(self, entry: servers.ServerEntry) -> None:
-        host, port = sockets.split_address(entry.address)
         self.opened += 1
         crashed = False
         log = loguru.logger.bind(
             event='check', server=entry.server_id, born_ms=entry.born_ms
         )
         try:
+            host, port = sockets.split_address(entry.address)
             async with asyncio.timeout(CHECK_TIMEOUT_S):
                 transport, _ = await self._loop.create_connection(
                     asyncio.Protocol, host, port, local_addr=self._source
@@ -428,4 +461,12 @@
             crashed = True
         except (OSError, TimeoutError) as error:
             log.info(f'cannot tell whether it crashed: {error!r}')
+        except Exception as error:
+            self._on_error(error, entry.server_id, 0)
         self._on_check(entry, crashed)
+
+
+def _raise_error(error: Exception, server_id: str, attempt_id: int) -> None:
+    """Stands for a record of errors where there is none."""
+    del server_id, attempt_id
+    raise error
--- a/tests/adapter/sabotage.py
+++ b/tests/adapter/sabotage.py
@@ -14,17 +14,20 @@
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import catalog
 from balsamshore_core.forwarding import departures
+from balsamshore_core.forwarding import endings
 from balsamshore_core.forwarding import exchanges
 from balsamshore_core.forwarding import fingerprints
 from balsamshore_core.forwarding import quarantine
 from balsamshore_core.forwarding import retrybudgets
 from balsamshore_core.forwarding import routes
+from balsamshore_core.forwarding import sends
 from balsamshore_core.forwarding import servers
 from balsamshore_node.forwarding import gossip
 from balsamshore_node.forwarding import host
 from balsamshore_node.forwarding import pending
 from balsamshore_node.forwarding import storereads
 from balsamshore_node.forwarding import updates
+from balsamshore_node.forwarding import upstream
 from balsamshore_platform import core
 from balsamshore_platform import documents
 from balsamshore_platform import headers
@@ -193,13 +196,50 @@
         make_failing(owner, name)
 
 
-def make_failing(owner, name):
+HANDLER_ERROR_INTERVAL = 11  # calls
+FAILING_HANDLERS = (
+    (endings.Endings, 'complete_part'),
+    (endings.Endings, 'finish'),
+    (exchanges.Exchanges, '_follow_links'),
+    (exchanges.Exchanges, '_handle_deadline_timer'),
+    (exchanges.Exchanges, 'apply_notices'),
+    (exchanges.Exchanges, 'handle_check'),
+    (exchanges.Exchanges, 'handle_due_timers'),
+    (exchanges.Exchanges, 'handle_loss'),
+    (exchanges.Exchanges, 'handle_probes'),
+    (exchanges.Exchanges, 'handle_reply'),
+    (exchanges.Exchanges, 'hear_cut'),
+    (exchanges.Exchanges, 'next_due'),
+    (exchanges.Exchanges, 'start'),
+    (exchanges.Exchanges, 'withdraw'),
+    (headers.Headers, 'encode_answer'),
+    (headers.Headers, 'encode_attempt'),
+    (headers.Headers, 'read_reply'),
+    (headers.Headers, 'read_request'),
+    (sends.Sends, 'dispatch_part'),
+    (upstream.Pool, '_connect_and_send'),
+)
+
+
+def raise_in_handlers():
+    """Raises errors in the handling of requests, replies and timers."""
+    for owner, name in FAILING_HANDLERS:
+        make_failing(owner, name, HANDLER_ERROR_INTERVAL)
+
+
+def never_decide():
+    """Raises an error at each timer, and takes no reply."""
+    make_failing(exchanges.Exchanges, 'handle_due_timers', 1)
+    exchanges.Exchanges.handle_reply = lambda *arguments: []
+
+
+def make_failing(owner, name, interval=ERROR_INTERVAL):
     method = getattr(owner, name)
     calls = itertools.count(1)
 
     @functools.wraps(method)
     def fail_now_and_then(*arguments, **options):
-        if next(calls) % ERROR_INTERVAL == 0:
+        if next(calls) % interval == 0:
             raise RuntimeError(f'{name} fails on purpose')
         return method(*arguments, **options)
 
@@ -264,6 +304,8 @@
         for name, find in FINGERPRINT_FAULTS.items()
     },
     'errors': raise_errors,
+    'handlers': raise_in_handlers,
+    'undecided': never_decide,
     'limits': ignore_rate_limits,
     'departures': ignore_departures,
     'waits': ignore_waits,
