--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -381,6 +381,10 @@
     def _is_misplaced(self, entry: ServerEntry) -> bool:
         return entry.address.rpartition(':')[0] in self._node_hosts
 
+    def count_in_flight(self) -> int:
+        """Counts the attempts that run, or may run, on usable servers."""
+        return sum(server.in_flight for server in self.list_servers())
+
     def put(self, entry: ServerEntry, now: float) -> None:
         """Adds or updates a server; removes a draining server."""
         if self._is_misplaced(entry):
