Confine an error about a part that waited to its own request

What callers saw: if a part that waited could not be sent because of an unexpected error, the request whose reply made room was ended in its place, and the other one waited until its deadline.

Cause: parts that waited are sent within the decision about another request, so the host took the error for one about that request.

Change: where held and queued parts are sent, an error is noted on the board with the request it is about (failures); the host records it (errors_part) and ends that request. The loop goes on with the others.

Evidence: the test fails before (held and queued: the failing request has no answer) and passes now: the one gets 503, as it was sent to nobody, the one behind it is sent, the third has its 200.

--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -136,6 +136,13 @@
         self.overdue = False
 
 
+class Failure(typing.NamedTuple):
+    """An unexpected error about a request while another one was handled."""
+
+    exchange_id: int
+    error: Exception
+
+
 class Exchange:
     """A caller's request that is not answered yet.
 
@@ -213,7 +220,15 @@
 
 @dataclasses.dataclass(slots=True)
 class ExchangeSection:
-    """Requests in progress; only `exchanges` adds and removes them."""
+    """Requests in progress; only `exchanges` adds and removes them.
+
+    Attributes:
+        exchanges: Requests by id.
+        attempts: Attempts by id, those of requests that have ended as well.
+        budgets: Retry budgets by service.
+        next_attempt_id: Id of the next attempt.
+        failures: Errors about requests that the host has to end.
+    """
 
     exchanges: dict[int, Exchange] = dataclasses.field(default_factory=dict)
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
@@ -221,6 +236,7 @@
         default_factory=dict
     )
     next_attempt_id: int = 1
+    failures: list[Failure] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -521,9 +521,7 @@
         output.append(actions.PublishState())
         held = self._links.take_held()
         if not reachable.is_cut_off:
-            for part in held:
-                if part.is_open():
-                    self._sends.dispatch_part(part, 'queued', now, output)
+            self._sends.dispatch_held(held, 'queued', now, output)
             return
         output.append(actions.CloseIdle())
         if self._board.peers:
--- a/packages/core/balsamshore_core/forwarding/sends.py
+++ b/packages/core/balsamshore_core/forwarding/sends.py
@@ -5,6 +5,8 @@
 servers has to run alone.
 """
 
+import collections.abc
+
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import delays
@@ -105,6 +107,13 @@
         """Sends the waiting parts of a service that may be sent now."""
 
         def send(part: boards.Part) -> bool:
+            try:
+                return send_one(part)
+            except Exception as error:
+                self._record_failure(part, error)
+                return True
+
+        def send_one(part: boards.Part) -> bool:
             if self._isolation.is_stopped(part.exchange, now):
                 self._endings.fail_part(part, 'quarantined', now, output)
                 return True
@@ -131,9 +140,28 @@
         self, fingerprint: str, now: float, output: boards.Actions
     ) -> None:
         """Sends the held parts of a request that may be sent now."""
-        for part in self._isolation.take_held(fingerprint):
-            if part.is_open():
-                self.dispatch_part(part, 'alone', now, output)
+        held = self._isolation.take_held(fingerprint)
+        self.dispatch_held(held, 'alone', now, output)
+
+    def dispatch_held(
+        self,
+        parts: collections.abc.Iterable[boards.Part],
+        kind: str,
+        now: float,
+        output: boards.Actions,
+    ) -> None:
+        """Sends parts that were held; an error about one costs only that."""
+        for part in parts:
+            try:
+                if part.is_open():
+                    self.dispatch_part(part, kind, now, output)
+            except Exception as error:
+                self._record_failure(part, error)
+
+    def _record_failure(self, part: boards.Part, error: Exception) -> None:
+        self._state.failures.append(
+            boards.Failure(part.exchange.exchange_id, error)
+        )
 
     def handle_round_timer(
         self, exchange_id: int, now: float, output: boards.Actions
--- a/packages/node/balsamshore_node/forwarding/pending.py
+++ b/packages/node/balsamshore_node/forwarding/pending.py
@@ -295,8 +295,18 @@
                 self._perform_action(self._actions.popleft())
         finally:
             self._performing = False
+        if self.board.exchanges.failures:
+            self._end_failed()
         self._schedule_timer()
 
+    def _end_failed(self) -> None:
+        """Ends the requests about which a decision for another one failed."""
+        state = self.board.exchanges
+        failures, state.failures = state.failures, []
+        for failure in failures:
+            self._record_error(failure.error, 'part', failure.exchange_id)
+            self._give_up(failure.exchange_id)
+
     def _perform_action(self, action: typing.Any) -> None:
         try:
             self._performers[type(action)](action)
--- a/tests/forwarding/test_pending.py
+++ b/tests/forwarding/test_pending.py
@@ -8,6 +8,7 @@
 
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import margins
+from balsamshore_core.forwarding import reachability
 from balsamshore_node.forwarding import faults
 from balsamshore_node.forwarding import messages
 from balsamshore_node.forwarding import metrics
@@ -121,6 +122,37 @@
     assert not any(count_held(world, requests))
 
 
+@pytest.mark.parametrize('waits', ['held', 'queued'])
+async def test_an_error_about_a_part_that_waited_costs_only_its_request(waits):
+    """Two wait until a third one has its reply; the first cannot be sent."""
+    world = worlds.World(replicas=1, connections=3)
+    world.board.senders = 1
+    requests = make_requests(world)
+    replied = ask(requests)
+    attempt_id = next(iter(world.board.exchanges.attempts))
+    if waits == 'held':
+        world.board.reachability.state = reachability.State.CHECKING
+    failing, other = ask(requests), ask(requests)
+    assert len(world.board.exchanges.attempts) == 1
+    sends = world.exchanges._sends
+    send = sends._send_attempt
+
+    def fail_for_one(part, *arguments):
+        if part.exchange.exchange_id == failing_id:
+            fail()
+        send(part, *arguments)
+
+    failing_id = failing.exchange_id
+    sends._send_attempt = fail_for_one
+    reply = actions.Reply(200, False, False, 's', b'HTTP/1.1 200 X', b'body')
+    requests._handle_reply(attempt_id, reply)
+    assert [answer[:12] for answer in replied.answers] == [b'HTTP/1.1 200']
+    assert [answer[:12] for answer in failing.answers] == [b'HTTP/1.1 503']
+    assert not other.answers
+    assert count_held(world, requests) == (1, 1, 1, 1, 0, 1)
+    assert world.board.counters['errors_part'] == 1
+
+
 async def test_a_request_without_a_decision_is_answered_after_its_time():
     world = worlds.World()
     requests = make_requests(world)
