Refuse what a peer states out of its range

Found by the review of the odd entry: one record with a capacity of 1e308 directed all callers to that node; a refusal of a transfer was not checked at all (names, 0.0.0.0, revisions of -1 and infinity; 7 of 8 were taken, one raised OverflowError); an era above any of the store's came in with a revision. By reading: a capacity of 0 at all nodes divides by zero, a negative checked_s keeps others from reading.

Failed before: test_a_node_of_any_capacity_..., test_a_refusal_that_names_no_node_ is_invalid (8 cases).

--- a/packages/node/balsamshore_node/forwarding/fields.py
+++ b/packages/node/balsamshore_node/forwarding/fields.py
@@ -12,6 +12,7 @@
 MAX_COUNT = 2**31 - 1
 MAX_COUNTER = 2**63 - 1  # the largest signed integer of MessagePack
 MAX_DURATION_MS = 366 * 86_400_000
+MAX_CORES = 1_024
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 MAX_ADDRESS_LENGTH = len('255.255.255.255:65535')
@@ -117,6 +118,16 @@
     return type(value) in NUMBER_TYPES and math.isfinite(value)
 
 
+def is_duration(value: Any) -> bool:
+    """Returns whether a value is a number of seconds from 0 on."""
+    return is_finite(value) and value >= 0
+
+
+def is_capacity(value: Any) -> bool:
+    """Returns whether a value is a number of processor cores."""
+    return is_finite(value) and 0 < value <= MAX_CORES
+
+
 def is_flag(value: Any) -> bool:
     """Returns whether a value is a boolean."""
     return isinstance(value, bool)
--- a/packages/node/balsamshore_node/forwarding/gossip.py
+++ b/packages/node/balsamshore_node/forwarding/gossip.py
@@ -39,6 +39,14 @@
 
 Check = collections.abc.Callable[[Any], bool]
 
+
+def is_revision(value: Any) -> bool:
+    """Returns whether a value is a revision of an era of the store."""
+    return fields.is_counter(value) and catalog.find_era(value) < (
+        catalog.MAX_ERA
+    )
+
+
 # In the order of the fields.
 RECORD_CHECKS: dict[str, Check] = {
     'name': fields.is_text,
@@ -48,16 +56,16 @@
     'state': fields.is_text,
     'address': fields.is_address,
     'failure_domain': fields.is_text,
-    'capacity': fields.is_finite,
+    'capacity': fields.is_capacity,
     'load': fields.is_finite,
     'active': fields.is_flag,
     'store_ok': fields.is_flag,
-    'revision': fields.is_counter,
-    'checked_s': fields.is_finite,
+    'revision': is_revision,
+    'checked_s': fields.is_duration,
 }
 ITEM_CHECKS: dict[str, Check] = {
     'key': fields.is_text,
-    'revision': fields.is_counter,
+    'revision': is_revision,
     'value': lambda value: value is None or isinstance(value, bytes),
     'retained': fields.is_flag,
 }
@@ -204,8 +212,8 @@
             ),
             [_check(catalog.Item(*item), ITEM_CHECKS) for item in items],
             bool(is_snapshot),
-            _read_counter(since),
-            _read_counter(revision),
+            _read_revision(since),
+            _read_revision(revision),
             {
                 _read_text(server_id): _read_finite(slowness)
                 for server_id, slowness in slowness_reports.items()
@@ -256,6 +264,12 @@
     return value
 
 
+def _read_revision(value: Any) -> int:
+    if not is_revision(value):
+        raise ValueError(f'{value!r:.80} is not a revision')
+    return value
+
+
 def _check_counters(values: list[Any]) -> list[int]:
     """Checks many at once, as datagrams are mostly heartbeats."""
     if values and not (
--- a/packages/node/balsamshore_node/forwarding/transfers.py
+++ b/packages/node/balsamshore_node/forwarding/transfers.py
@@ -21,6 +21,7 @@
 import msgpack
 
 from balsamshore_core.forwarding import transfers
+from balsamshore_node.forwarding import fields
 from balsamshore_node.forwarding import gossip
 from balsamshore_node.forwarding import sockets
 
@@ -285,12 +286,18 @@
 
 def _decode_refusal(data: bytes) -> list[transfers.Holder]:
     try:
-        return [
-            transfers.Holder(str(host), int(revision))
+        holders = [
+            transfers.Holder(host, revision)
             for host, revision in msgpack.unpackb(data)
         ]
     except (TypeError, ValueError, msgpack.UnpackException) as error:
         raise ValueError(f'invalid refusal: {error}') from error
+    for holder in holders:
+        if not (
+            fields.is_host(holder.host) and gossip.is_revision(holder.revision)
+        ):
+            raise ValueError(f'invalid refusal: {holder!r:.80}')
+    return holders
 
 
 def _decompress(data: bytes) -> bytes:
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -194,6 +194,17 @@
         check_numbers(tuple(table.limits))
 
 
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('slots', 2**31), ('warmupLeftMs', 367 * 86_400_000), ('seq', 2**63),
+        ('born', -1), ('service', 'a\nb'), ('zone', '\ud800'),
+    ],
+)  # fmt: skip
+def test_a_field_out_of_range_names_no_server(name, value):
+    assert decode('servers/i-1', {**ENTRY, name: value}) is None
+
+
 @pytest.mark.parametrize('weight', [10**401, -1, math.nan, math.inf, '1'])
 def test_a_weight_out_of_range_is_refused(weight):
     split = [{'service': 'a', 'weight': weight}, {'service': 'b', 'weight': 1}]
--- a/tests/adapter/test_odd_revisions.py
+++ b/tests/adapter/test_odd_revisions.py
@@ -72,8 +72,9 @@
     await check_changes_are_heard(platform)
 
 
+@pytest.mark.parametrize('revision', [fields.MAX_COUNTER, catalog.MAX_NUMBER])
 async def test_changes_are_heard_after_a_peer_named_a_revision_to_come(
-    platform,
+    platform, revision
 ):
     host = f'{platform.network}.2.9'
     record = fleet.NodeRecord(
@@ -82,8 +83,8 @@
     )  # fmt: skip
     payload = gossip.Payload(
         (record,),
-        [catalog.Item('servers/i-odd', fields.MAX_COUNTER, b'odd')],
-        revision=fields.MAX_COUNTER,
+        [catalog.Item('servers/i-odd', revision, b'odd')],
+        revision=revision,
     )
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
         sender.bind((host, GOSSIP_PORT))
--- a/tests/forwarding/test_gossip.py
+++ b/tests/forwarding/test_gossip.py
@@ -1,5 +1,6 @@
 """Tests of the encoding of payloads between nodes."""
 
+import contextlib
 import math
 
 import hypothesis
@@ -236,3 +237,38 @@
 
 def test_the_datagram_without_an_odd_value_is_handled():
     handle_as_node(gossip.decode_payload(msgpack.packb(FULL_FIELDS)))
+
+
+def test_a_node_of_any_capacity_is_not_the_only_one_callers_are_directed_to():
+    node = host.Host(
+        test_host.SETTINGS, None, test_catalog.Decoder(), None, (),
+        lambda: None, {},
+    )  # fmt: skip
+    node._updates._start_fetches = lambda: None
+    for number, capacity in ((2, 1e308), (3, 1.0), (4, 1.0), (5, 1.0)):
+        record = RECORD._replace(
+            name=f'n{number}', host=f'127.0.0.{number}', state='serving',
+            address=f'127.0.0.{number}:8226', active=True, capacity=capacity,
+        )  # fmt: skip
+        data = gossip.encode_payload(gossip.Payload((record,)))
+        with contextlib.suppress(ValueError):
+            node._apply_payload(record.host, gossip.decode_payload(data))
+    sound = {f'127.0.0.{number}:8226' for number in (3, 4, 5)}
+    assert sound <= set(node.choose_addresses('a'))
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('host', 'x.example'), ('host', '0.0.0.0'), ('host', '10.0.0.1\r\n'),
+        ('address', '10.0.0.1:99999'), ('capacity', 0.0), ('capacity', 1e308),
+        ('checked_s', -1.0), ('checked_s', math.nan), ('load', math.inf),
+        ('revision', 2**60), ('incarnation', 2**63), ('name', 'a\r\nb'),
+    ],
+)  # fmt: skip
+def test_a_record_with_a_value_out_of_range_is_refused(name, value):
+    data = gossip.encode_payload(
+        gossip.Payload((RECORD._replace(**{name: value}),))
+    )
+    with pytest.raises(ValueError, match=name):
+        gossip.decode_payload(data)
--- a/tests/forwarding/test_transfers.py
+++ b/tests/forwarding/test_transfers.py
@@ -11,6 +11,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import msgpack
 import pytest
 
 from balsamshore_core.forwarding import catalog
@@ -408,3 +409,17 @@
             )
 
     assert len(run(fetch())) > 100_000
+
+
+@pytest.mark.parametrize(
+    'holder',
+    [
+        ['x.example', 9], ['', 9], ['0.0.0.0', 9], [7, 9], ['127.0.0.1', -1],
+        ['127.0.0.1', 2**64 - 1], ['127.0.0.1', math.inf],
+        ['127.0.0.1', '9'],
+    ],
+)  # fmt: skip
+def test_a_refusal_that_names_no_node_is_invalid(holder):
+    body = peer_transfers.REFUSAL + msgpack.packb([holder])
+    with pytest.raises(ValueError, match='invalid refusal'):
+        peer_transfers._decode_body(body)
