Take a reply that changes the protocol for one that cannot be used

An answer with status 101 and Upgrade raised an unexpected error out of the callback that reads (seen by the review with random bytes); the attempt then counted as lost when its connection ended.

Cause: httptools raises HttpParserUpgrade there, which is no HttpParserError.

Change: ReplyReader takes both for bytes that are no answer, as RequestReader did.

Evidence: the new test failed twice of 2 before (HttpParserUpgrade), passes now.

--- a/packages/node/balsamshore_node/forwarding/messages.py
+++ b/packages/node/balsamshore_node/forwarding/messages.py
@@ -21,6 +21,7 @@
 LARGE_PIECE_BYTES = 1_024
 TURN_PIECES = 512  # more of them wait for another turn of the event loop
 LINE_ENDS = (b'\r', b'\n')
+PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 HEADER_OVERHEAD_BYTES = 4  # colon, space and line end
 
 
@@ -186,7 +187,7 @@
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except PARSER_ERRORS as error:
             if self._excess:
                 raise TooLargeError(self._excess) from error
             if not self.complete:
@@ -386,9 +387,7 @@
         self._pending_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail(400)
-        except httptools.HttpParserError:
+        except PARSER_ERRORS:
             self._fail(400)
         current = self.current
         if current is None:
--- a/tests/forwarding/test_messages.py
+++ b/tests/forwarding/test_messages.py
@@ -122,6 +122,16 @@
     assert reader.keep_alive_s == 7.0
 
 
+@pytest.mark.parametrize('surplus', [b'', b'bytes of another protocol'])
+def test_a_reply_that_changes_the_protocol_is_a_fault(surplus):
+    reader = messages.ReplyReader()
+    with pytest.raises(messages.MessageError):
+        reader.feed(
+            b'HTTP/1.1 101 Other\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n'
+            + surplus
+        )
+
+
 @hypothesis.settings(deadline=None, derandomize=True)
 @hypothesis.given(st.binary(max_size=300))
 def test_arbitrary_bytes_are_a_fault_or_not_whole(payload):
