Reject a connection once, whatever its caller sends after that

Cause: bytes that came after the rejection were parsed again, and the reader's error was answered again.

Change: what follows an error is dropped, 256 KB of it at most; after that the connection is not read until it is closed, 0.5 s after its response.

--- a/packages/node/balsamshore_node/forwarding/callers.py
+++ b/packages/node/balsamshore_node/forwarding/callers.py
@@ -18,6 +18,9 @@
 # that have been read by then are served.
 PAUSE_THRESHOLD_REQUESTS = 8
 CLOSE_DELAY_S = 0.5  # lets the caller read the response to an invalid request
+# Read and dropped before that, so that a caller that sends its whole request
+# first gets the response and no reset.
+MAX_DROPPED_BYTES = 262_144
 FIRST_REQUEST_S = 0.5  # a new connection's first request takes at most this
 # A connection was opened for its first request if that comes within a round
 # trip and this time.
@@ -74,8 +77,10 @@
         '_idle_since',
         '_limits',
         '_disconnected',
+        '_dropped_bytes',
         '_opened_at',
         '_reader',
+        '_rejected',
         '_round_trip_s',
         '_timer',
         '_unread',
@@ -97,6 +102,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._unread = b''  # received, to be parsed in a later turn
         self._disconnected = False
+        self._rejected = False
+        self._dropped_bytes = 0  # received after an error
         self._opened_at: float | None = None  # until its first request
         self._round_trip_s = math.inf  # the shortest so far
         self.transport: asyncio.Transport | None = None
@@ -138,6 +145,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Reads requests; see `asyncio`."""
+        if self._reader.error_status:
+            self._drop(len(data))
+            return
         if self._unread:
             self._unread += data
             return
@@ -161,6 +171,15 @@
         if not self.busy:
             self._start_next_request()
 
+    def _drop(self, size: int) -> None:
+        """Drops bytes that follow an error; reads no more after too many."""
+        self._dropped_bytes += size
+        if (
+            self._dropped_bytes > MAX_DROPPED_BYTES
+            and self.transport is not None
+        ):
+            self.transport.pause_reading()
+
     def _wait_for_turn(self) -> None:
         """Reads no more until what was received has been parsed."""
         assert self.transport is not None
@@ -183,7 +202,7 @@
     def _resume_reading(self) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        if not self._unread:
+        if not (self._unread or self._dropped_bytes > MAX_DROPPED_BYTES):
             self.transport.resume_reading()
 
     def send_answer(self, payload: bytes, closing: bool) -> None:
@@ -253,8 +272,7 @@
                 reader.ready.clear()  # the caller said that this is the last
                 self._unread = b''
             self._handler.handle_request(self, raw)
-        elif reader.error_status:
-            self._handler.record_rejection(self, reader.error_status)
+        elif reader.error_status and not self._rejected:
             self._reject(reader.error_status)
 
     def _measure_distance(self) -> margins.Distance:
@@ -277,6 +295,11 @@
         )
 
     def _reject(self, status: int) -> None:
+        """Answers what cannot be read as a request, and ends."""
+        self._rejected = True
+        self._reader.reject(status)
+        self._unread = b''
+        self._handler.record_rejection(self, status)
         self._write(encode_response(status, closing=True))
         self.closing = True
         self._stop_timer()
@@ -319,7 +342,6 @@
             else:
                 self.close()
             return
-        self._handler.record_rejection(self, 408)
         self._reject(408)
 
 
--- a/tests/forwarding/test_rejections.py
+++ b/tests/forwarding/test_rejections.py
@@ -98,3 +98,36 @@
         if isinstance(each, messages.RequestReader)
     ]
     assert not alive
+
+
+@pytest.mark.parametrize('manner', WITHOUT_END)
+async def test_a_connection_is_rejected_once_whatever_follows(manner):
+    """Guards against a response, and a log line, for each later read."""
+    handler = Handler()
+    connection = connect(handler)
+    transport = connection.transport
+    connection.data_received(WITHOUT_END[manner])
+    await test_small_pieces.measure_turns(lambda: handler.rejections)
+    for _ in range(5):
+        if not transport.paused:
+            connection.data_received(WITHOUT_END[manner])
+            await asyncio.sleep(0)
+    assert transport.paused
+    assert len(handler.rejections) == 1
+    assert len(transport.written) == 1
+    connection.connection_lost(None)
+    await asyncio.sleep(0)
+
+
+async def test_the_rest_of_a_rejected_request_is_read():
+    """A close with unread bytes would reset the response to it."""
+    handler = Handler()
+    connection = connect(handler)
+    connection.data_received(
+        b'POST / HTTP/1.1\r\nContent-Length: 300000\r\n\r\n'
+    )
+    assert handler.rejections == [413]
+    for _ in range(4):
+        connection.data_received(b'x' * 60_000)
+    assert not connection.transport.paused
+    connection.connection_lost(None)
