Log the rejections of a caller's unreadable requests once a minute

Seen: 80 connections that are rejected and come back 50 ms after the close give 809 to 812 'refused' lines of one node in 5 s, and the lines grow with the connections.

Cause: a line for each rejection, without the caller.

Change: one line a minute for each caller and status, with the caller and how many were held back; all are counted (callers_STATUS). Rejections on the pages are counted (pages_rejected); they had no trace.

Measured: test_a_caller_that_is_rejected_again_and_again_gets_few_lines: 10,000 rejections of two callers in 120 s give 4 lines; failed before (a line each).

--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -71,7 +71,7 @@
         dialect: dialects.Dialect,
         decoder: catalogs.Decoder,
         store: dialects.Store,
-        pages: collections.abc.Sequence[pages.Page],
+        node_pages: collections.abc.Sequence[pages.Page],
         read_settings: collections.abc.Callable[
             [], node_settings.Settings | None
         ],
@@ -84,7 +84,7 @@
             dialect: Decodes requests and replies, encodes answers.
             decoder: Decodes the store's documents.
             store: Reads the store.
-            pages: HTTP pages, each on its own address.
+            node_pages: HTTP pages, each on its own address.
             read_settings: Returns the settings if they have changed.
             listening_sockets: Sockets already opened, by address; the node
                 opens the others itself.
@@ -129,7 +129,8 @@
             self.catalog, rng, now, wait_for_peers
         )
         self.exchanges = exchanges.Exchanges(self.board)
-        self._pages = pages
+        self._pages = node_pages
+        self._page_handlers = [pages.Handler(self, page) for page in node_pages]
         self._read_settings = read_settings
         self._listening_sockets = listening_sockets
         self._accepting = False
@@ -199,8 +200,8 @@
         self._requests.open(loop, self.settings.source_address)
         self._front = callers.Listener(self._requests, routes.CallerLimits())
         self._page_listeners = [
-            callers.Listener(pages.Handler(self, page), routes.CallerLimits())
-            for page in self._pages
+            callers.Listener(handler, routes.CallerLimits())
+            for handler in self._page_handlers
         ]
         await self._gossip.open(self.settings.host)
         await self._updates.transfers.open(
@@ -516,6 +517,9 @@
         return {
             **self.board.counters,
             'connections_opened': self._requests.pool.opened,
+            'pages_rejected': sum(
+                each.rejected for each in self._page_handlers
+            ),
             'reading_turns': self._requests.pool.turns.given,
             'gossip_sent_bytes': self._gossip.sent_bytes,
             'gossip_received_bytes': self._gossip.received_bytes,
--- a/packages/node/balsamshore_node/forwarding/pages.py
+++ b/packages/node/balsamshore_node/forwarding/pages.py
@@ -35,9 +35,14 @@
 
 
 class Handler:
-    """Serves one of the node's pages."""
+    """Serves one of the node's pages.
+
+    Attributes:
+        rejected: Number of requests rejected before they were complete.
+    """
 
     def __init__(self, host: Node, page: Page):
+        self.rejected = 0
         self._host = host
         self._page = page
 
@@ -58,4 +63,5 @@
     def record_rejection(
         self, connection: callers.Connection, error_status: int
     ) -> None:
-        """Does nothing, since only the platform calls pages."""
+        """Counts a request that cannot be read; these callers get no line."""
+        self.rejected += 1
--- a/packages/node/balsamshore_node/forwarding/pending.py
+++ b/packages/node/balsamshore_node/forwarding/pending.py
@@ -108,6 +108,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_at = 0.0
         self._timers_from = 0.0  # later than now after an error
+        self._rejections = logs.Repetitions(read_clock)
 
     def open(
         self, loop: asyncio.AbstractEventLoop, source_address: str
@@ -279,11 +280,20 @@
     def record_rejection(
         self, connection: callers.Connection, error_status: int
     ) -> None:
-        """Counts and logs a request rejected before it was complete."""
+        """Counts a request rejected before it was complete, and logs it.
+
+        A caller that sends such requests again and again gets a line a minute.
+        """
         self.board.counters[f'callers_{error_status}'] += 1
-        loguru.logger.bind(event='refused', status=error_status).warning(
-            'request rejected before it was complete'
-        )
+        caller = connection.caller
+        repeated = self._rejections.take(f'{caller} {error_status}')
+        if repeated is not None:
+            loguru.logger.bind(
+                event='refused',
+                status=error_status,
+                caller=caller,
+                repeated=repeated,
+            ).warning('request rejected before it was complete')
 
     def perform(self, output: boards.Actions) -> None:
         """Carries out the core's actions, after those decided before."""
--- a/tests/forwarding/test_rejections.py
+++ b/tests/forwarding/test_rejections.py
@@ -4,8 +4,11 @@
 import gc
 import tracemalloc
 
+import loguru
 import pytest
+from forwarding import test_pending
 from forwarding import test_small_pieces
+from forwarding import worlds
 
 from balsamshore_core.forwarding import routes
 from balsamshore_node.forwarding import callers
@@ -131,3 +134,22 @@
         connection.data_received(b'x' * 60_000)
     assert not connection.transport.paused
     connection.connection_lost(None)
+
+
+async def test_a_caller_that_is_rejected_again_and_again_gets_few_lines():
+    """Guards against a log that grows with what a caller sends."""
+    world = worlds.World()
+    requests = test_pending.make_requests(world)
+    lines = []
+    sink = loguru.logger.add(lambda line: lines.append(line.record['extra']))
+    connection = connect(requests)
+    try:
+        for number in range(10_000):
+            world.now += 0.012
+            connection.caller = f'10.0.0.{number % 2}'
+            requests.record_rejection(connection, 431)
+    finally:
+        loguru.logger.remove(sink)
+    assert world.board.counters['callers_431'] == 10_000
+    assert [line['repeated'] for line in lines] == [0, 0, 2499, 2499]
+    assert {line['caller'] for line in lines} == {'10.0.0.0', '10.0.0.1'}
