Count a head's bytes without those of the requests before it

Seen: 3,000 small pipelined requests in one write: the connection is answered 431 midway, though each head has 18 bytes.

Cause: the head's size was that of the slices it was parsed in, whole, also where the slice began with other requests; slices double up to a whole read.

Change: a slice in which another request was completed does not count.

--- a/packages/node/balsamshore_node/forwarding/messages.py
+++ b/packages/node/balsamshore_node/forwarding/messages.py
@@ -361,6 +361,7 @@
 
     __slots__ = (
         '_body_limit',
+        '_completed',
         '_head_limit',
         '_parser',
         '_pending_bytes',
@@ -374,6 +375,7 @@
         self.pieces = 0
         self._head_limit = head_limit
         self._body_limit = body_limit
+        self._completed = False  # a request, within the last slice
         self._parser: httptools.HttpRequestParser | None = (
             httptools.HttpRequestParser(self)
         )
@@ -404,6 +406,7 @@
         if self._parser is None:
             return
         self._pending_bytes += len(data)
+        self._completed = False
         try:
             self._parser.feed_data(data)
         except PARSER_ERRORS:
@@ -412,7 +415,8 @@
         if current is None:
             return
         if not current.method:
-            current.head_bytes += len(data)
+            if not self._completed:
+                current.head_bytes += len(data)
             if current.head_bytes > self._head_limit:
                 self.reject(431)
         elif self._pending_bytes > self._head_limit:
@@ -470,6 +474,7 @@
 
     def on_message_complete(self) -> None:
         """Completes the request; see `httptools`."""
+        self._completed = True
         if self.current is not None:
             self.ready.append(self.current)
         self.current = None
--- a/tests/forwarding/test_messages.py
+++ b/tests/forwarding/test_messages.py
@@ -187,3 +187,19 @@
     reader = messages.RequestReader(100, 100)
     for piece in split(payload, cuts):
         reader.feed(piece)
+
+
+@pytest.mark.parametrize('before', [1, 100, 3_000])
+@pytest.mark.parametrize('read_bytes', [1_000, 4_096, 262_144])
+def test_a_head_within_its_limit_is_read_behind_other_requests(
+    before, read_bytes
+):
+    """Guards against a limit that counts the bytes of other requests."""
+    reader = messages.RequestReader(16_384, 262_144)
+    long_head = b'GET /long HTTP/1.1\r\n' + b'a: %b\r\n' % (b'x' * 1_000) * 16
+    data = b'GET /short HTTP/1.1\r\n\r\n' * before + long_head + b'\r\n'
+    for start in range(0, len(data), read_bytes):
+        reader.feed(data[start : start + read_bytes])
+    assert reader.error_status == 0
+    assert len(reader.ready) == before + 1
+    assert len(reader.ready[-1].headers) == 16
