Answer any number of pipelined requests, also those answered at once

Seen: 3,000 small requests in one write, answered at once as the pages and refusals are: RecursionError, and no further answer on the connection.

Cause: the answer to one request started the next one within the same call, three to five frames each, and one read may bring thousands.

Change: a loop starts them; an answer that is sent within it only returns to it.

--- a/packages/node/balsamshore_node/forwarding/callers.py
+++ b/packages/node/balsamshore_node/forwarding/callers.py
@@ -82,6 +82,7 @@
         '_reader',
         '_rejected',
         '_round_trip_s',
+        '_starting',
         '_timer',
         '_unread',
         'busy',
@@ -103,6 +104,7 @@
         self._unread = b''  # received, to be parsed in a later turn
         self._disconnected = False
         self._rejected = False
+        self._starting = False
         self._dropped_bytes = 0  # received after an error
         self._opened_at: float | None = None  # until its first request
         self._round_trip_s = math.inf  # the shortest so far
@@ -168,8 +170,7 @@
             and self.transport is not None
         ):
             self.transport.pause_reading()
-        if not self.busy:
-            self._start_next_request()
+        self._start_next_request()
 
     def _drop(self, size: int) -> None:
         """Drops bytes that follow an error; reads no more after too many."""
@@ -216,8 +217,7 @@
             self.close()
             return
         self._start_idle_timer()
-        if self._reader.ready or self._reader.error_status:
-            self._start_next_request()
+        self._start_next_request()
 
     def close(self) -> None:
         """Closes the connection once written data has been sent."""
@@ -259,21 +259,36 @@
         self._reader.ready = ready
 
     def _start_next_request(self) -> None:
-        reader = self._reader
-        if reader.ready:
-            raw = reader.ready.popleft()
-            self._resume_reading()
-            self._stop_timer()
-            self.busy = True
-            self.distance = self._measure_distance()
-            self._opened_at = None
-            if not raw.keep_alive:
-                self.closing = True
-                reader.ready.clear()  # the caller said that this is the last
-                self._unread = b''
-            self._handler.handle_request(self, raw)
-        elif reader.error_status and not self._rejected:
-            self._reject(reader.error_status)
+        """Starts requests in their order until one has no answer yet."""
+        if self._starting:
+            return  # an answer that was sent at once; the loop below goes on
+        self._starting = True
+        try:
+            while self._reader.ready and self._may_start():
+                self._start_request(self._reader.ready.popleft())
+        finally:
+            self._starting = False
+        error_status = self._reader.error_status
+        if error_status and not self._rejected and self._may_start():
+            self._reject(error_status)
+
+    def _may_start(self) -> bool:
+        """Returns whether the answers before were sent."""
+        return not (
+            self.busy or self.transport is None or self.transport.is_closing()
+        )
+
+    def _start_request(self, raw: messages.RawRequest) -> None:
+        self._resume_reading()
+        self._stop_timer()
+        self.busy = True
+        self.distance = self._measure_distance()
+        self._opened_at = None
+        if not raw.keep_alive:
+            self.closing = True
+            self._reader.ready.clear()  # the caller said that this is the last
+            self._unread = b''
+        self._handler.handle_request(self, raw)
 
     def _measure_distance(self) -> margins.Distance:
         """Measures how far away the caller is.
