Start no request of a caller that does not take its answers

Seen: 10 callers that pipeline 1,000 requests for answers of 100 KB each and read nothing take a node from 31 to 230 MB in 4.5 s.

Cause: nothing paused for a full write buffer; requests were started as long as there were any. One read was parsed whole as well, however many requests it held.

Change: while answers are not taken, no next request of the connection starts; parsing and reading stop with more than eight requests that wait; a request counts as 64 pieces, so that few are parsed ahead. A caller that has taken nothing, also from the kernel's buffer, for the idle timeout is disconnected.

--- a/packages/node/balsamshore_node/forwarding/callers.py
+++ b/packages/node/balsamshore_node/forwarding/callers.py
@@ -14,8 +14,8 @@
 from balsamshore_node.forwarding import sockets
 from balsamshore_node.forwarding import turns
 
-# More waiting requests pause reading until the next one starts; all requests
-# that have been read by then are served.
+# More waiting requests pause parsing and reading until the next one starts; all
+# requests that have been parsed by then are served.
 PAUSE_THRESHOLD_REQUESTS = 8
 CLOSE_DELAY_S = 0.5  # lets the caller read the response to an invalid request
 # Read and dropped before that, so that a caller that sends its whole request
@@ -78,13 +78,16 @@
         '_limits',
         '_disconnected',
         '_dropped_bytes',
+        '_has_turn',
         '_opened_at',
+        '_paused',
         '_reader',
         '_rejected',
         '_round_trip_s',
         '_starting',
         '_timer',
         '_unread',
+        '_unsent_bytes',
         'busy',
         'caller',
         'closing',
@@ -102,9 +105,12 @@
         self._idle_since = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._unread = b''  # received, to be parsed in a later turn
+        self._has_turn = False
+        self._paused = False  # nothing is read from the socket
+        self._starting = False
         self._disconnected = False
         self._rejected = False
-        self._starting = False
+        self._unsent_bytes: int | None = None  # while the caller reads slowly
         self._dropped_bytes = 0  # received after an error
         self._opened_at: float | None = None  # until its first request
         self._round_trip_s = math.inf  # the shortest so far
@@ -158,53 +164,58 @@
         reader = self._reader
         was_reading = reader.current is not None
         self._unread = reader.feed_turn(data)
-        if self._unread:
-            self._wait_for_turn()
         if not was_reading and reader.current is not None and not self.busy:
             self._start_timer(self._limits.head_timeout_s)
         if reader.current is not None and reader.current.expects_continue:
             reader.current.expects_continue = False
             self._write(b'HTTP/1.1 100 Continue\r\n\r\n')
-        if (
-            len(reader.ready) > PAUSE_THRESHOLD_REQUESTS
-            and self.transport is not None
-        ):
-            self.transport.pause_reading()
         self._start_next_request()
+        self._read_on()
 
     def _drop(self, size: int) -> None:
         """Drops bytes that follow an error; reads no more after too many."""
         self._dropped_bytes += size
-        if (
-            self._dropped_bytes > MAX_DROPPED_BYTES
-            and self.transport is not None
-        ):
-            self.transport.pause_reading()
+        self._read_on()
 
-    def _wait_for_turn(self) -> None:
-        """Reads no more until what was received has been parsed."""
-        assert self.transport is not None
-        self.transport.pause_reading()
-        self.listener.turns.wait(self._continue)
+    def _read_on(self) -> None:
+        """Parses what was received, or reads more, unless much is held."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        full = len(self._reader.ready) > PAUSE_THRESHOLD_REQUESTS
+        pauses = bool(self._unread) or full
+        pauses = pauses or self._dropped_bytes > MAX_DROPPED_BYTES
+        if pauses != self._paused:
+            self._paused = pauses
+            if pauses:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
+        if self._unread and not (full or self._has_turn):
+            self._has_turn = True
+            self.listener.turns.wait(self._continue)
 
     def _continue(self) -> None:
         """Parses in its turn what was received before."""
+        self._has_turn = False
         data, self._unread = self._unread, b''
         if self.transport is None or self.transport.is_closing():
             return
         if data:
             self.data_received(data)
-        if len(self._reader.ready) <= PAUSE_THRESHOLD_REQUESTS:
-            self._resume_reading()
         rejected = self._reader.error_status
         if self.closing and not (rejected or self.has_more):
             self.close_when_idle()
 
-    def _resume_reading(self) -> None:
-        if self.transport is None or self.transport.is_closing():
-            return
-        if not (self._unread or self._dropped_bytes > MAX_DROPPED_BYTES):
-            self.transport.resume_reading()
+    def pause_writing(self) -> None:
+        """Starts no request while answers are not taken; see `asyncio`."""
+        self._unsent_bytes = self._count_unsent()
+
+    def resume_writing(self) -> None:
+        """Starts the next request, if any; see `asyncio`."""
+        self._unsent_bytes = None
+        if self._may_start():
+            self._start_idle_timer()
+            self._start_next_request()
 
     def send_answer(self, payload: bytes, closing: bool) -> None:
         """Sends the final answer to the current request."""
@@ -231,7 +242,7 @@
         self.closing = True
         reading = self._reader.current is not None
         if not (
-            self.busy or reading or self._unread or self._expects_request()
+            self.busy or reading or self.has_more or self._expects_request()
         ):
             self.close()
 
@@ -273,13 +284,16 @@
             self._reject(error_status)
 
     def _may_start(self) -> bool:
-        """Returns whether the answers before were sent."""
+        """Returns whether the answers before were sent and taken."""
         return not (
-            self.busy or self.transport is None or self.transport.is_closing()
+            self.busy
+            or self._unsent_bytes is not None
+            or self.transport is None
+            or self.transport.is_closing()
         )
 
     def _start_request(self, raw: messages.RawRequest) -> None:
-        self._resume_reading()
+        self._read_on()
         self._stop_timer()
         self.busy = True
         self.distance = self._measure_distance()
@@ -336,6 +350,22 @@
         self._idle_since = asyncio.get_running_loop().time()
         self._start_timer(self.listener.limits.idle_timeout_s)
 
+    def _end_if_stalled(self) -> None:
+        """Ends a connection whose caller took nothing for the idle timeout."""
+        assert self.transport is not None
+        before, self._unsent_bytes = self._unsent_bytes, self._count_unsent()
+        if before is not None and self._unsent_bytes >= before:
+            self.transport.abort()
+            return
+        self._start_idle_timer()
+
+    def _count_unsent(self) -> int:
+        """Returns how many bytes of answers the caller has not taken."""
+        assert self.transport is not None
+        return self.transport.get_write_buffer_size() + sockets.count_unsent(
+            self.transport.get_extra_info('socket')
+        )
+
     def _find_idle_time_left(self) -> float:
         """Returns how long an idle connection stays; limits may have grown."""
         idle_s = asyncio.get_running_loop().time() - self._idle_since
@@ -350,6 +380,9 @@
         self._timer = None
         if self.busy:
             return
+        if self._unsent_bytes is not None:
+            self._end_if_stalled()
+            return
         if self._reader.current is None:
             left_s = self._find_idle_time_left()
             if left_s > 0:
--- a/packages/node/balsamshore_node/forwarding/messages.py
+++ b/packages/node/balsamshore_node/forwarding/messages.py
@@ -19,6 +19,7 @@
 FIELD_BYTES = 144  # memory of a header field besides its text
 SLICE_BYTES = 4_096  # the parser is given at a time, more if pieces are large
 LARGE_PIECE_BYTES = 1_024
+REQUEST_PIECES = 64  # a request counts as so many pieces
 TURN_PIECES = 512  # more of them wait for another turn of the event loop
 LINE_ENDS = (b'\r', b'\n')
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
@@ -475,6 +476,7 @@
     def on_message_complete(self) -> None:
         """Completes the request; see `httptools`."""
         self._completed = True
+        self.pieces += REQUEST_PIECES
         if self.current is not None:
             self.ready.append(self.current)
         self.current = None
--- a/packages/node/balsamshore_node/forwarding/sockets.py
+++ b/packages/node/balsamshore_node/forwarding/sockets.py
@@ -64,8 +64,22 @@
 
 def has_unread(sock: socket.socket) -> bool:
     """Returns whether the kernel holds received bytes of a connection."""
-    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
-    return bool(struct.unpack('i', count)[0])
+    return bool(_read_count(sock, termios.FIONREAD))
+
+
+def count_unsent(sock: socket.socket) -> int:
+    """Returns how many written bytes the other end has not acknowledged.
+
+    It is 0 where the platform does not count them.
+    """
+    try:
+        return _read_count(sock, termios.TIOCOUTQ)
+    except OSError:
+        return 0
+
+
+def _read_count(sock: socket.socket, request: int) -> int:
+    return struct.unpack('i', fcntl.ioctl(sock.fileno(), request, bytes(4)))[0]
 
 
 def read_round_trip(sock: socket.socket | None) -> float | None:
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -33,6 +33,7 @@
 SERVER_PORT = 8080
 HOST = 'x.example'
 RECORD_BYTES = 16
+LARGE_BYTES = 100_000
 GRACE_S = 6
 CRASH_DOWN_S = 0.6
 CRASH_MANNERS = ('closed', 'truncated', 'supervised', 'silent')
@@ -60,10 +61,10 @@
             others get `store_mode`.
         server_modes: Server id to `ok`, `full` (refuses requests), `reset`
             (executes the request, then resets the connection), `dark` (no
-            reply), `late_extra` (a second response after the reply), `garbage`
-            (not HTTP), `unframed` (no content length), `unsealed` (a complete
-            success without a seal), `broken` (truncated body), `slow` or
-            `slower`, one of UNTRUE_STATUSES (executes the request, then
+            reply), `large` (a body of 100 KB), `late_extra` (a second response
+            after the reply), `garbage` (not HTTP), `unframed` (no content
+            length), `unsealed` (a complete success without a seal), `broken`
+            (truncated body), `slow` or `slower`, one of UNTRUE_STATUSES (executes the request, then
             answers so with its seal and without `Not-Executed`), or one of
             `endless.MANNERS`: bytes until the caller closes.
         server_limits: Values of the header `Server-Limit`, by server id.
@@ -309,6 +310,8 @@
             bytes([number]) + server_id.encode()[:7].ljust(15, b'.')
             for number in range(3)
         )
+        if mode == 'large':
+            payload = payload.ljust(LARGE_BYTES, b'.')
         fields = {'Server-Seal': seal, 'Request-Id': request_id, **said}
         if server_id in self.server_limits:
             fields['Server-Limit'] = self.server_limits[server_id]
--- a/tests/forwarding/test_pipelining.py
+++ b/tests/forwarding/test_pipelining.py
@@ -93,6 +93,25 @@
     return sizes
 
 
+async def test_no_request_starts_while_answers_are_not_taken():
+    """Guards against answers without end for a caller that reads none."""
+    handler = Handler(ANSWER_BYTES)
+    limits = routes.CallerLimits()
+    async with connect(handler, limits) as (listener, reader, writer):
+        writer.write(pipeline(1_000))
+        await asyncio.sleep(0.5)
+        started = len(handler.targets)
+        assert started < ANSWERS_ON_THE_WAY
+        (connection,) = listener.connections
+        unsent_bytes = connection.transport.get_write_buffer_size()
+        assert unsent_bytes < 2 * ANSWER_BYTES
+        await asyncio.sleep(0.2)
+        assert len(handler.targets) == started
+        sizes = await read_answers(reader, 1_000)
+        assert sizes == [ANSWER_BYTES] * 1_000
+        assert handler.targets == list(range(1_000))
+
+
 async def test_many_pipelined_requests_that_are_answered_at_once_all_are():
     """Guards against an error of recursion for as many as one read brings."""
     handler = Handler(10)
@@ -100,3 +119,50 @@
         writer.write(pipeline(3_000))
         await read_answers(reader, 3_000)
     assert handler.targets == list(range(3_000))
+
+
+async def test_few_pipelined_requests_are_parsed_ahead():
+    """Guards against memory for all requests that one read brings."""
+    for delay_s in (0.0, 0.0005):
+        handler = Handler(10, delay_s)
+        async with connect(handler) as (_, reader, writer):
+            writer.write(pipeline(3_000))
+            await read_answers(reader, 3_000)
+        assert handler.targets == list(range(3_000))
+        assert handler.most_ready < 300
+
+
+async def test_a_caller_that_takes_nothing_is_disconnected():
+    """Guards against answers that are kept for good."""
+    handler = Handler(ANSWER_BYTES)
+    async with connect(handler) as (listener, _, writer):
+        writer.write(pipeline(1_000))
+        async with asyncio.timeout(10 * IDLE_S):
+            while not listener.connections:
+                await asyncio.sleep(0.01)
+            while listener.connections:
+                await asyncio.sleep(0.01)
+
+
+async def test_a_caller_that_takes_answers_slowly_gets_all():
+    handler = Handler(ANSWER_BYTES)
+    async with connect(handler) as (_, reader, writer):
+        writer.write(pipeline(60))
+        sizes = []
+        for _ in range(12):
+            sizes += await read_answers(reader, 5)
+            await asyncio.sleep(IDLE_S / 2)
+        assert sizes == [ANSWER_BYTES] * 60
+
+
+async def test_a_stop_answers_requests_whose_answers_wait():
+    handler = Handler(ANSWER_BYTES)
+    limits = routes.CallerLimits()
+    async with connect(handler, limits) as (listener, reader, writer):
+        writer.write(pipeline(200))
+        await asyncio.sleep(0.2)
+        assert len(handler.targets) < 200
+        listener.close()
+        listener.close_idle()
+        sizes = await read_answers(reader, 200)
+        assert sizes == [ANSWER_BYTES] * 200
