Bound the memory of all callers' incomplete requests together

Cause: limits held for one request, and no sum of them.

Change: HeldMemory, which replies had within their pool, is a module of its own and also counts callers' requests that were not started, with fields, pieces and what waits for its turn: 32 MiB for the callers' port, 2 MiB for each page, apart from the 32 MiB of replies. Above it the largest is answered 503, which is true as none of it ran, with Retry-After. Gauge callers_held_bytes.

--- a/packages/node/balsamshore_node/forwarding/callers.py
+++ b/packages/node/balsamshore_node/forwarding/callers.py
@@ -10,6 +10,7 @@
 
 from balsamshore_core.forwarding import margins
 from balsamshore_core.forwarding import routes
+from balsamshore_node.forwarding import heldmemory
 from balsamshore_node.forwarding import messages
 from balsamshore_node.forwarding import sockets
 from balsamshore_node.forwarding import turns
@@ -21,6 +22,8 @@
 # Read and dropped before that, so that a caller that sends its whole request
 # first gets the response and no reset.
 MAX_DROPPED_BYTES = 262_144
+MAX_HELD_BYTES = 33_554_432  # memory of all incomplete requests together
+SHED_RETRY_S = 1.0  # Retry-After of a request that was given up for memory
 FIRST_REQUEST_S = 0.5  # a new connection's first request takes at most this
 # A connection was opened for its first request if that comes within a round
 # trip and this time.
@@ -68,6 +71,7 @@
         busy: Whether a request is being served.
         closing: Whether the connection closes after the current request.
         exchange_id: The exchange of the current request, or 0.
+        held_bytes: Memory of the requests that were not started.
         caller: Address of the caller, without the port.
         distance: How far away the caller is, for the current request.
     """
@@ -93,6 +97,7 @@
         'closing',
         'distance',
         'exchange_id',
+        'held_bytes',
         'listener',
         'transport',
     )
@@ -118,6 +123,7 @@
         self.busy = False
         self.closing = False
         self.exchange_id = 0
+        self.held_bytes = 0
         self.caller = ''
         self.distance = margins.TYPICAL
 
@@ -141,6 +147,7 @@
         self._disconnected = True
         self._unread = b''
         self._reader.discard()
+        self.listener.held.hold(self, 0)
         self.listener.connections.discard(self)
         self._stop_timer()
         if self.busy:
@@ -179,6 +186,7 @@
 
     def _read_on(self) -> None:
         """Parses what was received, or reads more, unless much is held."""
+        self._record_held()
         if self.transport is None or self.transport.is_closing():
             return
         full = len(self._reader.ready) > PAUSE_THRESHOLD_REQUESTS
@@ -194,6 +202,22 @@
             self._has_turn = True
             self.listener.turns.wait(self._continue)
 
+    def _record_held(self) -> None:
+        reader = self._reader
+        held_bytes = len(self._unread)
+        if reader.ready or reader.current is not None:
+            held_bytes += reader.held_bytes
+        if held_bytes != self.held_bytes:
+            self.listener.held.hold(self, held_bytes)
+
+    def shed(self) -> None:
+        """Rejects the requests that were not started, for lack of memory."""
+        self._reader.ready.clear()
+        self._reader.reject(503)
+        self._unread = b''
+        self.listener.held.hold(self, 0)
+        self._start_next_request()
+
     def _continue(self) -> None:
         """Parses in its turn what was received before."""
         self._has_turn = False
@@ -328,8 +352,12 @@
         self._rejected = True
         self._reader.reject(status)
         self._unread = b''
+        self.listener.held.hold(self, 0)
         self._handler.record_rejection(self, status)
-        self._write(encode_response(status, closing=True))
+        headers = []
+        if status == 503:
+            headers.append(('Retry-After', f'{SHED_RETRY_S:.3f}'))
+        self._write(encode_response(status, headers=headers, closing=True))
         self.closing = True
         self._stop_timer()
         if self.transport is not None:
@@ -403,10 +431,18 @@
     Attributes:
         limits: Limits of each request that begins from now on.
         connections: Open connections.
+        held: Memory of the requests that were not started.
+        turns: Parses requests of many small pieces between other work.
     """
 
-    def __init__(self, handler: Handler, limits: routes.CallerLimits):
+    def __init__(
+        self,
+        handler: Handler,
+        limits: routes.CallerLimits,
+        max_held_bytes: int = MAX_HELD_BYTES,
+    ):
         self.limits = limits
+        self.held = heldmemory.HeldMemory(max_held_bytes)
         self.connections: set[Connection] = set()
         self.turns = turns.Turns(asyncio.get_running_loop())
         self._handler = handler
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -200,7 +200,9 @@
         self._requests.open(loop, self.settings.source_address)
         self._front = callers.Listener(self._requests, routes.CallerLimits())
         self._page_listeners = [
-            callers.Listener(handler, routes.CallerLimits())
+            callers.Listener(
+                handler, routes.CallerLimits(), pages.MAX_HELD_BYTES
+            )
             for handler in self._page_handlers
         ]
         await self._gossip.open(self.settings.host)
@@ -502,7 +504,8 @@
             'slots_held': self.board.registry.count_in_flight(),
             'connections_busy': busy,
             'connections_idle': idle,
-            'replies_held_bytes': self._requests.pool.held_bytes,
+            'replies_held_bytes': self._requests.pool.held.held_bytes,
+            'callers_held_bytes': self._front.held.held_bytes,
             'members_alive': len(self.fleet.list_alive(now)) + 1,
             'senders': self.board.senders,
             'slack_share': self.board.slack_share,
--- a/packages/node/balsamshore_node/forwarding/messages.py
+++ b/packages/node/balsamshore_node/forwarding/messages.py
@@ -19,6 +19,7 @@
 FIELD_BYTES = 144  # memory of a header field besides its text
 SLICE_BYTES = 4_096  # the parser is given at a time, more if pieces are large
 LARGE_PIECE_BYTES = 1_024
+REQUEST_BYTES = 512  # memory of a request besides its text and body
 REQUEST_PIECES = 64  # a request counts as so many pieces
 TURN_PIECES = 512  # more of them wait for another turn of the event loop
 LINE_ENDS = (b'\r', b'\n')
@@ -326,6 +327,7 @@
         'expects_continue',
         'field_bytes',
         'head_bytes',
+        'head_field_bytes',
         'headers',
         'keep_alive',
         'method',
@@ -340,10 +342,23 @@
         self.parts: list[bytes | bytearray] = []
         self.head_bytes = 0
         self.body_bytes = 0
-        self.field_bytes = 0  # of the head, after it of the trailers
+        self.field_bytes = 0  # trailers included
+        self.head_field_bytes = 0  # once the head is complete
         self.keep_alive = True
         self.expects_continue = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes so far, at most."""
+        return (
+            REQUEST_BYTES
+            + len(self.target)
+            + self.field_bytes
+            + len(self.headers) * FIELD_BYTES
+            + self.body_bytes * 9 // 8  # joined parts have room to grow
+            + len(self.parts) * PART_BYTES
+        )
+
     def read_body(self) -> bytes:
         """Returns the body."""
         return b''.join(self.parts)
@@ -385,6 +400,17 @@
         self.error_status = 0
         self._pending_bytes = 0  # received since the parser reported anything
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the requests take that were not started, at most."""
+        if self.current is None:
+            return sum(request.held_bytes for request in self.ready)
+        return (
+            self._pending_bytes
+            + self.current.held_bytes
+            + sum(request.held_bytes for request in self.ready)
+        )
+
     def reject(self, status: int) -> None:
         """Ends the reading with an error; complete requests stay ready."""
         if not self.error_status:
@@ -443,7 +469,7 @@
         current.field_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         if current.method:
             self._pending_bytes = 0
-        if current.field_bytes > self._head_limit:
+        if current.field_bytes - current.head_field_bytes > self._head_limit:
             self._refuse(431)
         current.headers.append((lowered, value))
 
@@ -457,7 +483,7 @@
         current.keep_alive = self._parser.should_keep_alive()
         if len(current.target) + current.field_bytes > self._head_limit:
             self._refuse(431)
-        current.field_bytes = 0  # from here on, of the trailers
+        current.head_field_bytes = current.field_bytes
         for name, value in current.headers:
             if name == b'content-length' and int(value) > self._body_limit:
                 self._refuse(413)
--- a/packages/node/balsamshore_node/forwarding/pages.py
+++ b/packages/node/balsamshore_node/forwarding/pages.py
@@ -6,6 +6,8 @@
 from balsamshore_node.forwarding import messages
 from balsamshore_node.forwarding import metrics as metrics_page
 
+MAX_HELD_BYTES = 2_097_152  # memory of all incomplete requests of a page
+
 
 class Node(Protocol):
     """The part of `host.Host` that pages use."""
--- a/packages/node/balsamshore_node/forwarding/upstream.py
+++ b/packages/node/balsamshore_node/forwarding/upstream.py
@@ -14,6 +14,7 @@
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import servers
 from balsamshore_node.forwarding import dialects
+from balsamshore_node.forwarding import heldmemory
 from balsamshore_node.forwarding import messages
 from balsamshore_node.forwarding import sockets
 from balsamshore_node.forwarding import turns
@@ -102,10 +103,14 @@
             self._reader.discard()
             self._reader = None
         self._unread = b''
-        self._pool.hold(self, 0)
+        self._pool.held.hold(self, 0)
         if self.transport is not None:
             self.transport.abort()
 
+    def shed(self) -> None:
+        """Drops the reply, as all together are too large."""
+        self._pool.drop(self, 'oversized')
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport; aborts it if the attempt was closed."""
         self.transport = typing.cast(asyncio.Transport, transport)
@@ -143,13 +148,13 @@
         elif unread:
             self._defer(reader, unread)
         else:
-            self._pool.hold(self, reader.held_bytes)
+            self._pool.held.hold(self, reader.held_bytes)
 
     def _defer(self, reader: messages.ReplyReader, data: bytes) -> None:
         """Keeps bytes for a later turn and reads no more until then."""
         waiting = bool(self._unread)
         self._unread = data
-        self._pool.hold(self, reader.held_bytes + len(data))
+        self._pool.held.hold(self, reader.held_bytes + len(data))
         if self.closed or waiting:
             return
         assert self.transport is not None
@@ -194,7 +199,7 @@
 
     def _complete(self, reader: messages.ReplyReader) -> None:
         self._reader = None
-        self._pool.hold(self, 0)
+        self._pool.held.hold(self, 0)
         request = self.request
         assert request is not None
         reply = self._pool.dialect.read_reply(
@@ -222,7 +227,7 @@
 
     Attributes:
         dialect: Encodes requests and reads replies.
-        held_bytes: Memory that all incomplete replies take.
+        held: Memory that all incomplete replies take.
         opened: Number of connection attempts so far.
         turns: Parses replies of many small pieces between other work.
     """
@@ -240,7 +245,7 @@
         on_error: OnError | None = None,
     ):
         self.dialect = dialect
-        self.held_bytes = 0
+        self.held = heldmemory.HeldMemory(MAX_HELD_BYTES)
         self.opened = 0
         self.turns = turns.Turns(loop)
         self._loop = loop
@@ -349,18 +354,6 @@
         self._on_error(error, server_id, connection.attempt_id)
         self.drop(connection, 'error')
 
-    def hold(self, connection: Connection, held_bytes: int) -> None:
-        """Records the memory that an incomplete reply takes.
-
-        When all together are too large, the largest is dropped: it is the most
-        likely never to end, and a smaller one is not lost to it.
-        """
-        self.held_bytes += held_bytes - connection.held_bytes
-        connection.held_bytes = held_bytes
-        if self.held_bytes > MAX_HELD_BYTES:
-            largest = max(self._busy.values(), key=lambda busy: busy.held_bytes)
-            self.drop(largest, 'oversized')
-
     def close_expired(self) -> None:
         """Closes connections that have been idle too long."""
         now = self._read_clock()
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -64,9 +64,10 @@
             reply), `large` (a body of 100 KB), `late_extra` (a second response
             after the reply), `garbage` (not HTTP), `unframed` (no content
             length), `unsealed` (a complete success without a seal), `broken`
-            (truncated body), `slow` or `slower`, one of UNTRUE_STATUSES (executes the request, then
-            answers so with its seal and without `Not-Executed`), or one of
-            `endless.MANNERS`: bytes until the caller closes.
+            (truncated body), `slow` or `slower`, one of UNTRUE_STATUSES
+            (executes the request, then answers so with its seal and without
+            `Not-Executed`), or one of `endless.MANNERS`: bytes until the caller
+            closes.
         server_limits: Values of the header `Server-Limit`, by server id.
         leaving_servers: Ids of the servers that say so in all their answers;
             `add_server` and a crash make it a new incarnation.
--- a/tests/forwarding/test_small_pieces.py
+++ b/tests/forwarding/test_small_pieces.py
@@ -158,6 +158,9 @@
     def resume_reading(self):
         self.paused = False
 
+    def get_write_buffer_size(self):
+        return sum(map(len, self.written))
+
     def is_closing(self):
         return self.closing
 
@@ -233,7 +236,7 @@
     await measure_turns(lambda: len(results) == len(connections))
     body = b'a' * (2 * (REPLY_BYTES // 7))
     assert {each[1] for each in results} == {body}
-    assert pool.held_bytes == 0
+    assert pool.held.held_bytes == 0
 
 
 async def test_a_reply_that_is_closed_while_it_waits_is_forgotten():
@@ -241,13 +244,13 @@
     pool = make_pool(results)
     connection = connect(pool, 1)
     connection.data_received(CHUNKED + fill(encode_chunk(2), REPLY_BYTES))
-    assert pool.held_bytes > 0
+    assert pool.held.held_bytes > 0
     pool.close(1)
-    assert pool.held_bytes == 0
+    assert pool.held.held_bytes == 0
     for _ in range(5):
         await asyncio.sleep(0)
     assert not results
-    assert pool.held_bytes == 0
+    assert pool.held.held_bytes == 0
 
 
 async def test_what_follows_a_reply_while_it_waits_closes_its_connection():
