--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -57,8 +57,9 @@
     Attributes:
         ledger: What callers sent and servers received.
         store_modes_by_host: How the store treats single hosts: `busy` (status
-            503), `reset` (resets the connection) or `silent` (no reply);
-            others get `store_mode`.
+            503), `reset` (resets the connection), `silent` (no reply) or
+            `trickle` (a reply of a byte now and then); others get
+            `store_mode`.
         server_modes: Server id to `ok`, `full` (refuses requests), `reset`
             (executes the request, then resets the connection), `dark` (no
             reply), `large` (a body of 100 KB), `late_extra` (a second response
@@ -173,6 +174,8 @@
             return None
         if mode == 'busy':
             return listeners.encode(503)
+        if mode == 'trickle':
+            return endless.trickle
         target = urllib.parse.urlsplit(raw.target.decode())
         query = dict(urllib.parse.parse_qsl(target.query))
         if target.path == '/v1/kv-key':
--- a/tests/adapter/endless.py
+++ b/tests/adapter/endless.py
@@ -6,6 +6,7 @@
 BLOCK = b'x' * 65_536
 MAX_BLOCKS = 4_096  # ends a server whose caller never closes
 DRIP_INTERVAL_S = 0.25
+TRICKLE_INTERVAL_S = 0.05
 
 
 def _repeat(start, block, pause_s=0.0):
@@ -47,3 +48,9 @@
     'drip_headers': _repeat(HEAD + b'X-Name: ', b'x', DRIP_INTERVAL_S),
     'drip_body': _repeat(HEAD + b'\r\n', b'x', DRIP_INTERVAL_S),
 }
+
+
+# For over a minute: longer than any call.
+trickle = _repeat(
+    HEAD + b'Content-Length: 100000\r\n\r\n', b' ', TRICKLE_INTERVAL_S
+)
--- a/tests/adapter/test_store_pages.py
+++ b/tests/adapter/test_store_pages.py
@@ -28,7 +28,7 @@
         await platform.put('op/config', emulator.make_table(1))
         client = store.Store(f'{platform.store_host}:8229')
         listing = await client.read_all()
-        client._disconnect()
+        client._calls.disconnect()
     except errors.StoreError:
         return None
     finally:
