--- a/platform/balsamshore_platform/storecalls.py
+++ b/packages/node/balsamshore_node/forwarding/storecalls.py
@@ -1,4 +1,4 @@
-"""Calls of the platform's store, each on a connection of its own.
+"""Calls of the store, each on a connection of its own.
 
 Beside a call whose reply comes too slowly another one is made on a new
 connection; the first reply that is complete counts.
