Let callers send without end in the soak, and bound the nodes' memory

Cause: the soak's callers kept to the protocol and read their answers.

Change: now and then 40 connections to a port of a node send without end, say nothing, or pipeline requests and read no answers; a node that took over 120 MB is a violation. read_peak_kb moved beside the floods.

--- a/tests/adapter/floods.py
+++ b/tests/adapter/floods.py
@@ -7,6 +7,7 @@
 import contextlib
 import os
 import pathlib
+import re
 import subprocess
 import sys
 
@@ -16,7 +17,7 @@
 BLOCK_BYTES = 262_144  # as much as a node reads at once
 PIPELINED = 1_000  # requests of a caller that reads no answer
 GET = (
-    f'GET /p/{{number}} HTTP/1.1\r\nHost: {emulator.HOST}\r\n'
+    f'GET {{prefix}}/{{number}} HTTP/1.1\r\nHost: {emulator.HOST}\r\n'
     'Request-Id: {name}-{number}\r\n\r\n'
 )
 POST = b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -30,7 +31,8 @@
     'extensions': (POST + b'1;', b'x'),
     'chunks': (POST, b'1\r\na\r\n'),
 }
-UNREAD = 'unread'  # pipelines requests and reads no answer
+# Prefixes of requests that are pipelined and whose answers are not read.
+UNREAD = {'unread': '/p', 'unread_refusals': '/none'}
 SILENT = 'silent'  # sends nothing
 
 
@@ -45,11 +47,12 @@
             while True:
                 writer.write(block)
                 await writer.drain()
-        if manner == UNREAD:
+        if manner in UNREAD:
             writer.transport.pause_reading()
+            prefix = UNREAD[manner]
             writer.write(
                 ''.join(
-                    GET.format(name=name, number=number)
+                    GET.format(prefix=prefix, name=name, number=number)
                     for number in range(PIPELINED)
                 ).encode()
             )
@@ -92,5 +95,11 @@
         process.wait()
 
 
+def read_peak_kb(process):
+    """Returns the most memory that a process has taken so far."""
+    with open(f'/proc/{process.pid}/status') as status:
+        return int(re.search(r'VmHWM:\s+(\d+)', status.read())[1])
+
+
 if __name__ == '__main__':
     asyncio.run(main(*sys.argv[1:]))
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -15,6 +15,7 @@
 which writes its true one at its next heartbeat. No node may end by itself.
 Configurations, some of them large, travel between nodes over links that become
 slow or stand still.
+Callers send without end or read no answers, on many connections at once.
 The test checks what callers and servers observed against the program's
 guarantees and the bounds on attempts. On violations it prints their seeds and
 exits with status 1.
@@ -37,6 +38,7 @@
 from adapter import cutoffs
 from adapter import emulator
 from adapter import endless
+from adapter import floods
 from adapter import ledgers
 from adapter import links
 from adapter import oddvalues
@@ -60,6 +62,11 @@
 CUTS = cutoffs.MANNERS
 ODD_KEY = 'servers/i-odd'
 MEAN_ODD_PAUSE_S = 0.4  # between odd entries
+MEAN_FLOOD_PAUSE_S = 2.0  # between floods, and their length
+FLOODS = (*floods.MANNERS, 'unread_refusals', floods.SILENT)
+FLOOD_PORTS = (8226, 8225, 9464)  # of callers, address answers and metrics
+FLOOD_CONNECTIONS = 40
+MAX_NODE_KB = 120_000  # peak of the memory of a node's process
 HEARTBEAT_S = 1.2  # of a server, until it writes its entry again
 MIN_STALL_S = 0.15  # of all servers; half of the goal of /q/x
 MAX_PROBES = 5  # of a node, while all servers stand still
@@ -189,6 +196,7 @@
         self.restarts = []
         self.cut_rng = random.Random(seed)
         self.odd_rng = random.Random(seed)
+        self.flood_rng = random.Random(seed)
 
     async def run(self, seconds):
         platform = self.platform
@@ -223,10 +231,12 @@
             disturbing = [
                 asyncio.create_task(self.cut_nodes_off()),
                 asyncio.create_task(self.write_odd_entries()),
+                asyncio.create_task(self.flood_nodes()),
             ]
             await self.inject_faults(seconds)
             for task in disturbing:
                 task.cancel()
+            await asyncio.gather(*disturbing, return_exceptions=True)
             await self.recover()
             self.ended = True
             await asyncio.wait(callers, timeout=5.0)
@@ -285,6 +295,20 @@
             await asyncio.sleep(HEARTBEAT_S * self.odd_rng.random())
             await self.platform.report_server(server_id)
 
+    async def flood_nodes(self):
+        """Lets callers send without end to a node, or read no answers."""
+        rng = self.flood_rng
+        while True:
+            await asyncio.sleep(MEAN_FLOOD_PAUSE_S * rng.random() * 2)
+            host = f'{self.platform.network}.2.{rng.randint(1, self.nodes)}'
+            with floods.start_flood(
+                rng.choice(FLOODS),
+                host,
+                rng.choice(FLOOD_PORTS),
+                FLOOD_CONNECTIONS,
+            ):
+                await asyncio.sleep(MEAN_FLOOD_PAUSE_S * rng.random() * 2)
+
     async def fail_server(self):
         name = self.rng.choice(sorted(self.platform.server_modes))
         self.platform.server_modes[name] = self.rng.choice(SERVER_MODES)
@@ -437,6 +461,7 @@
             await asyncio.sleep(0.2)
         for index in range(1, self.nodes + 1):
             self.check_process(index)
+            self.check_memory(index)
             await self.check_recovery(index)
             self.check_versions(index)
             await self.check_routes(index)
@@ -493,6 +518,12 @@
                 f'node {index} ended by itself with status {status}'
             )
 
+    def check_memory(self, index):
+        """Checks what the process that runs now has taken at most."""
+        peak_kb = floods.read_peak_kb(self.platform.processes[f'n{index}'])
+        if peak_kb > MAX_NODE_KB:
+            self.violations.append(f'node {index} took {peak_kb} KB')
+
     def record_signal(self, index):
         self.signals.append((index, asyncio.get_running_loop().time()))
 
--- a/tests/adapter/test_endless.py
+++ b/tests/adapter/test_endless.py
@@ -3,11 +3,11 @@
 import asyncio
 import contextlib
 import json
-import re
 
 import pytest
 from adapter import emulator
 from adapter import endless
+from adapter import floods
 from adapter import ledgers
 from adapter import listeners
 
@@ -30,11 +30,6 @@
     return 'asyncio'
 
 
-def read_peak_kb(process):
-    with open(f'/proc/{process.pid}/status') as status:
-        return int(re.search(r'VmHWM:\s+(\d+)', status.read())[1])
-
-
 @contextlib.asynccontextmanager
 async def start_platform(tmp_path, network):
     platform = emulator.Emulator(tmp_path, network)
@@ -61,7 +56,7 @@
 ):
     number = list(endless.MANNERS).index(manner)
     async with start_platform(tmp_path, f'127.{10 + number}') as platform:
-        before_kb = read_peak_kb(platform.processes['n1'])
+        before_kb = floods.read_peak_kb(platform.processes['n1'])
         for service in 'abc':
             platform.server_modes[f'{service}0'] = manner
         loop = asyncio.get_running_loop()
@@ -79,7 +74,7 @@
             assert set(statuses[:10]) <= {200, 504}
             del statuses[:10]
         assert statuses == [200] * len(statuses)
-        grown_kb = read_peak_kb(platform.processes['n1']) - before_kb
+        grown_kb = floods.read_peak_kb(platform.processes['n1']) - before_kb
         assert grown_kb < MAX_GROWTH_KB
 
 
@@ -87,7 +82,7 @@
 async def test_memory_is_bounded_when_all_servers_never_end(tmp_path, manner):
     number = list(endless.MANNERS).index(manner)
     async with start_platform(tmp_path, f'127.{40 + number}') as platform:
-        before_kb = read_peak_kb(platform.processes['n1'])
+        before_kb = floods.read_peak_kb(platform.processes['n1'])
         for name in platform.server_modes:
             platform.server_modes[name] = manner
         loop = asyncio.get_running_loop()
@@ -100,7 +95,7 @@
         )
         assert loop.time() - started_at < DEADLINE_S + MARGIN_S
         assert all(answer.status >= 500 for answer in answers)
-        grown_kb = read_peak_kb(platform.processes['n1']) - before_kb
+        grown_kb = floods.read_peak_kb(platform.processes['n1']) - before_kb
         assert grown_kb < MAX_GROWTH_KB
         for name in platform.server_modes:
             platform.server_modes[name] = 'ok'
--- a/tests/adapter/test_floods.py
+++ b/tests/adapter/test_floods.py
@@ -54,7 +54,7 @@
 def check_node(platform, statuses):
     """All were served by a node of bounded memory, with few log lines."""
     assert platform.processes['n1'].poll() is None
-    peak_kb = test_endless.read_peak_kb(platform.processes['n1'])
+    peak_kb = floods.read_peak_kb(platform.processes['n1'])
     lines = platform.read_log('n1')
     errors = [line for line in lines if line.get('event') == 'error']
     assert peak_kb < MAX_PEAK_KB
@@ -92,5 +92,5 @@
         for name in ('a0', 'a1'):
             platform.server_modes[name] = 'large'
         # Few: the kernel holds some answers of each.
-        statuses = await play(platform, floods.UNREAD, PORTS['front'], 10)
+        statuses = await play(platform, 'unread', PORTS['front'], 10)
         check_node(platform, statuses)
--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import os
 import time
 
 import pytest
@@ -57,6 +58,17 @@
     assert soak_run.violations == ['node 2 truncated an answer']
 
 
+def test_too_much_memory_is_detected(tmp_path, monkeypatch):
+    soak_run = make_soak(tmp_path)
+    process = collections.namedtuple('Process', 'pid')(os.getpid())
+    soak_run.platform.processes['n1'] = process
+    soak_run.check_memory(1)
+    assert not soak_run.violations
+    monkeypatch.setattr(soak, 'MAX_NODE_KB', 1_000)
+    soak_run.check_memory(1)
+    assert 'node 1 took' in soak_run.violations[0]
+
+
 class Platform:
     """Answers the first probes in part, then in full."""
 
