--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -62,9 +62,11 @@
     soak_run = make_soak(tmp_path)
     process = collections.namedtuple('Process', 'pid')(os.getpid())
     soak_run.platform.processes['n1'] = process
+    own_kb = soak.floods.read_peak_kb(process)
+    monkeypatch.setattr(soak, 'MAX_NODE_KB', 2 * own_kb)
     soak_run.check_memory(1)
     assert not soak_run.violations
-    monkeypatch.setattr(soak, 'MAX_NODE_KB', 1_000)
+    monkeypatch.setattr(soak, 'MAX_NODE_KB', own_kb // 2)
     soak_run.check_memory(1)
     assert 'node 1 took' in soak_run.violations[0]
 
