--- a/packages/node/balsamshore_node/forwarding/messages.py
+++ b/packages/node/balsamshore_node/forwarding/messages.py
@@ -151,7 +151,7 @@
     def held_bytes(self) -> int:
         """Memory that the reply takes so far, at most."""
         return (
-            self.body_bytes * 9 // 8  # joined parts have room to grow
+            self.body_bytes * 9 // 8  # a bytearray allocates ahead
             + len(self._parts) * PART_BYTES
             + len(self.headers) * FIELD_BYTES
             + self._head_bytes
@@ -355,7 +355,7 @@
             + len(self.target)
             + self.field_bytes
             + len(self.headers) * FIELD_BYTES
-            + self.body_bytes * 9 // 8  # joined parts have room to grow
+            + self.body_bytes * 9 // 8  # a bytearray allocates ahead
             + len(self.parts) * PART_BYTES
         )
 
