Tell idle nodes of a request's second crash at once

Cause: news of a crash went at once to active nodes only, and to idle ones with the next heartbeats, every 0.5 s. An idle node that got a repeat before that knew of no crash and lost two more servers, the next idle one another.

Change: news of a request with two crashes go to all nodes, as stops did. The new test failed before.

--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -220,7 +220,8 @@
 
         Returns:
             At most MAX_NOTICES notices; the others follow at the next call.
-            Whether they concern a stop, which all nodes must learn at once.
+            Whether all nodes must learn them at once, idle ones too: a repeat
+            at a node that does not know of two crashes causes two more.
         """
         notices = []
         urgent = False
@@ -230,7 +231,10 @@
             if suspect is None:
                 continue
             suspect.known_to_peers = True
-            urgent = urgent or suspect.stops > 0
+            urgent = urgent or (
+                suspect.stops > 0
+                or len(suspect.crashes) >= MIN_UNANSWERED_CRASHES
+            )
             notices.append(_build_notice(fingerprint, suspect, now))
         return notices, urgent
 
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -91,6 +91,24 @@
     assert fleet.find_spread_time('f') < STABLE_WINDOW_S
 
 
+def test_idle_nodes_know_of_a_second_crash_before_a_repeat_reaches_them():
+    """Guards against two more crashes at a node that had no traffic."""
+    fleet = Fleet(nodes=8)
+    fleet.run(8.0)
+    for name, node in fleet.nodes.items():
+        record = node.fleet.own_record
+        node.fleet.own_record = record._replace(active=name == 'n03')
+    fleet.run(2.0)
+    quarantine = fleet.nodes['n03'].board.quarantine
+    for number in range(quarantines.MIN_CRASHES - 1):
+        quarantine.record_loss('f', f's{number}', 1, True, fleet.now)
+        quarantine.record_check(f's{number}', 1, True, fleet.now)
+    fleet.run(test_fleet.STEP_S)
+    assert all(
+        node.board.quarantine.is_suspected('f') for node in fleet.nodes.values()
+    )
+
+
 def test_a_node_that_missed_the_news_learns_it_after_a_partition():
     fleet = Fleet(nodes=8)
     fleet.run(4.0)
