Count a server that returned and crashed again within a second

Crashes of one moment count as one unless the request ran alone. A server that was back after 0.6 s and crashed again under the same request at a node that had not heard of the first crashes counted as the same moment, so a fourth one followed. Which ones counted also depended on the order in which a node learned of them: a crash that did not count was forgotten, though a later report made it count.

--- a/packages/core/balsamshore_core/forwarding/quarantine.py
+++ b/packages/core/balsamshore_core/forwarding/quarantine.py
@@ -11,11 +11,12 @@
 
 Servers that crash at the same moment may have any cause in common, and a
 request to all shards is on many of them. They count as one crash, unless the
-request ran alone. A crash is identified by its server's incarnation, so one
-that several nodes see counts once, and it still counts after the server has
-returned or its address belongs to another one. A lost connection alone is no
-crash: the server may have dropped it. It has crashed if it refuses a new
-connection, or if its incarnation turns out to have ended (see `evidence`).
+request ran alone or a server has returned and crashed again. A crash is
+identified by its server's incarnation, so one that several nodes see counts
+once, and it still counts after the server has returned or its address belongs
+to another one. A lost connection alone is no crash: the server may have dropped
+it. It has crashed if it refuses a new connection, or if its incarnation turns
+out to have ended (see `evidence`).
 """
 
 import collections
@@ -28,8 +29,10 @@
 MIN_UNANSWERED_CRASHES = 2
 MIN_ISOLATING_CRASHES = 2
 MAX_HEDGED_CRASHES = 1  # a request with more is not hedged
-KEPT_CRASHES = 4  # per request; enough to know repeats of an older report
-SAME_MOMENT_S = 1.0  # a server takes longer to return and crash again
+# Per request, of those that count and of the others each; enough to know
+# repeats of an older report.
+KEPT_CRASHES = 4
+SAME_MOMENT_S = 1.0
 STOP_S = 30.0  # until the trial
 FINAL_STOP_S = 86_400.0  # until its repeats have surely ended
 TRIAL_STAGGER_S = 2.0  # between nodes; a crash is known everywhere in less
@@ -322,26 +325,30 @@
         now: float,
     ) -> None:
         suspect.servers.add(crash[:2])
-        if self._add_crash(suspect, crash):
+        self._add_crashes(suspect, [crash])
+        if crash in suspect.crashes:
             self._decide('crash', fingerprint, now)
             needed = self._find_needed_crashes(fingerprint, suspect, crash)
             self._stop_if_guilty(fingerprint, suspect, crash, needed, now)
             self._tell(fingerprint, suspect, now)
 
-    def _add_crash(
-        self, suspect: suspects.Suspect, crash: suspects.Crash
-    ) -> bool:
-        """Adds a crash; returns False if it is known or outdated."""
-        if crash.at <= suspect.cleared_at:
-            return False
-        for known in suspect.crashes:
-            same_moment = abs(known.at - crash.at) < SAME_MOMENT_S
-            same_server = known[:2] == crash[:2]
-            if same_moment and (same_server or not crash.alone):
-                return False
-        crashes = sorted([*suspect.crashes, crash], key=lambda c: c.at)
-        suspect.crashes = crashes[-KEPT_CRASHES:]
-        return crash in suspect.crashes
+    def _add_crashes(
+        self,
+        suspect: suspects.Suspect,
+        crashes: collections.abc.Iterable[suspects.Crash],
+    ) -> None:
+        """Adds crashes that are neither known nor outdated."""
+        known = [*suspect.crashes, *suspect.uncounted]
+        for crash in crashes:
+            if crash.at > suspect.cleared_at and not any(
+                _is_same_crash(crash, other) for other in known
+            ):
+                known.append(crash)
+        known.sort(key=lambda crash: (crash.at, crash.alone, *crash[:2]))
+        counted = _select_counted(known)
+        uncounted = [crash for crash in known if crash not in counted]
+        suspect.crashes = counted[-KEPT_CRASHES:]
+        suspect.uncounted = uncounted[-KEPT_CRASHES:]
 
     def _stop_if_guilty(
         self,
@@ -390,6 +397,7 @@
         suspect.crashes = [
             crash for crash in suspect.crashes if crash.at > suspect.cleared_at
         ]
+        suspect.uncounted.clear()
         suspect.servers.clear()
         suspect.reported = False
         if not suspect.crashes:
@@ -430,8 +438,7 @@
             for server_id, born_ms, age_s, alone in notice.crashes
             if now - age_s > suspect.cleared_at
         ]
-        for crash in crashes:
-            self._add_crash(suspect, crash)
+        self._add_crashes(suspect, crashes)
         suspect.reported = suspect.reported or bool(crashes)
         if crashes:
             if notice.stops > suspect.stops:
@@ -490,6 +497,37 @@
         )
 
 
+def _is_same_crash(one: suspects.Crash, other: suspects.Crash) -> bool:
+    return one[:2] == other[:2] and abs(one.at - other.at) < SAME_MOMENT_S
+
+
+def _select_counted(crashes: list[suspects.Crash]) -> list[suspects.Crash]:
+    """Returns those that count of crashes in order of time."""
+    counted: list[suspects.Crash] = []
+    for crash in crashes:
+        if (
+            crash.alone
+            or not counted
+            or crash.at - counted[-1].at >= SAME_MOMENT_S
+            or any(_is_next_crash(other, crash) for other in counted)
+        ):
+            counted.append(crash)
+    return counted
+
+
+def _is_next_crash(one: suspects.Crash, other: suspects.Crash) -> bool:
+    """Returns whether a server returned and then crashed again.
+
+    Nodes that date one crash may know different incarnations of its server,
+    but their dates differ by less than AGE_ERROR_S.
+    """
+    return (
+        one.server_id == other.server_id
+        and one.born_ms != other.born_ms
+        and other.at - one.at >= AGE_ERROR_S
+    )
+
+
 def _build_notice(
     fingerprint: str, suspect: suspects.Suspect, now: float
 ) -> suspects.Notice:
--- a/packages/core/balsamshore_core/forwarding/suspects.py
+++ b/packages/core/balsamshore_core/forwarding/suspects.py
@@ -54,6 +54,8 @@
 
     Attributes:
         crashes: Its crashes since it was last cleared, oldest first.
+        uncounted: Crashes of the same moment as one of `crashes`. They count
+            if this node learns of others.
         unconfirmed: Incarnations of servers whose connections were lost and
             that have not been checked yet; whether the run was alone.
         stops: How often it was stopped.
@@ -74,11 +76,13 @@
         'servers',
         'stopped_until',
         'stops',
+        'uncounted',
         'unconfirmed',
     )
 
     def __init__(self, now: float):
         self.crashes: list[Crash] = []
+        self.uncounted: list[Crash] = []
         self.unconfirmed: dict[tuple[str, int], bool] = {}
         self.stops = 0
         self.stopped_until = float('-inf')
--- a/tests/adapter/test_quarantine.py
+++ b/tests/adapter/test_quarantine.py
@@ -64,7 +64,13 @@
         await repeats.Repeater(platform, nodes, differences).run(seconds)
         breaches = platform.ledger.check_crashing(repeats.TARGET)
         if len(platform.crashes) > MAX_CRASHES:
-            breaches.append(f'{len(platform.crashes)} servers crashed')
+            crashes = ', '.join(
+                f'{crash.server_id} by {crash.request_id} at {crash.at:.3f}'
+                for crash in platform.crashes
+            )
+            breaches.append(
+                f'{len(platform.crashes)} servers crashed: {crashes}'
+            )
         assert platform.crashes
         return breaches
 
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -1,5 +1,7 @@
 """Requests under which servers crash, and innocent ones beside them."""
 
+import itertools
+
 import hypothesis
 import hypothesis.strategies as st
 import pytest
@@ -362,6 +364,58 @@
     assert len(notices[0].crashes) == 1
 
 
+FIRST_CRASHES = (
+    suspects.Crash('s0', 1, 10.0, False),
+    suspects.Crash('s1', 1, 10.005, True),
+    suspects.Crash('s1', 2, 10.7, False),
+)
+
+
+@pytest.mark.parametrize('order', list(itertools.permutations(FIRST_CRASHES)))
+def test_a_server_that_crashed_again_at_another_node_counts_twice(order):
+    """Guards against a fourth crash at a node that heard late of the first."""
+    quarantine = quarantines.Quarantine()
+    for crash in order:
+        quarantine.record_crash('f', crash, 10.8)
+    assert quarantine.find_stop_end('f', 10.8) is not None
+
+
+def test_one_crash_under_two_incarnations_counts_once():
+    quarantine = quarantines.Quarantine()
+    for number, at in enumerate((10.0, 10.1, 10.2)):
+        crash = suspects.Crash('s0', number, at, False)
+        quarantine.record_crash('f', crash, 10.3)
+    assert quarantine.find_stop_end('f', 10.3) is None
+
+
+CRASHES = st.lists(
+    st.builds(
+        suspects.Crash,
+        st.sampled_from(('s0', 's1')),
+        st.integers(1, 3),
+        st.integers(0, 12).map(lambda quarters: 10.0 + 0.25 * quarters),
+        st.booleans(),
+    ),
+    max_size=quarantines.KEPT_CRASHES,
+    unique_by=lambda crash: crash[:2],
+)
+
+
+@hypothesis.given(CRASHES, st.randoms(use_true_random=False))
+def test_the_order_of_news_does_not_change_how_many_crashes_count(
+    crashes, random
+):
+    shuffled = random.sample(crashes, len(crashes))
+    counts = []
+    for order in (crashes, shuffled):
+        quarantine = quarantines.Quarantine()
+        for crash in order:
+            quarantine.record_crash('f', crash, 14.0)
+        (notice,) = quarantine.list_reminders(14.0) or [None]
+        counts.append(notice and len(notice.crashes))
+    assert counts[0] == counts[1]
+
+
 def test_a_node_that_concludes_a_stop_from_others_reports_tells_all():
     quarantine = quarantines.Quarantine()
     for number in range(2):
