--- a/tests/forwarding/test_catalog.py
+++ b/tests/forwarding/test_catalog.py
@@ -251,3 +251,85 @@
     assert catalog.count_items() == count - 1
     whole, _ = catalog.list_since(count)
     assert whole
+
+
+def follow(catalog, source, now):
+    """Brings a catalog up to date from another one, as a transfer does."""
+    since = catalog.revision
+    whole, items = source.list_since(since)
+    if whole:
+        catalog.replace(items, source.revision, False, now)
+    else:
+        catalog.apply(items, since, source.revision, now)
+
+
+def test_a_started_node_hides_no_removal_from_nodes_behind_it():
+    """A new process knows no key that was removed before it read the store."""
+    items = [put(f's{n}', n, f'web ready 0 {n}') for n in range(1, 4)]
+    idle_board, idle = make_catalog()
+    idle.apply(items, 0, 3, 0.0)
+    _, started = make_catalog()
+    # Server s1 has left at revision 4, server s2 drains since revision 5.
+    left = [items[2], put('s2', 5, 'web draining 0 9')]
+    started.replace(left, 5, False, 1.0)
+    follow(idle, started, 2.0)
+    assert idle.revision == 5
+    assert names(idle_board) == {'s3'}
+
+
+def test_changes_after_a_lost_history_reach_nodes_within_the_gap():
+    """A reader that skipped revisions lacks keys that lived only in them."""
+    reader_board, reader = make_catalog()
+    reader.apply([put('a', 1, 'web ready 0 1')], 0, 1, 0.0)
+    ahead_board, ahead = make_catalog()
+    ahead.apply([put('a', 1, 'web ready 0 1')], 0, 1, 0.0)
+    ahead.apply([put('b', 2, 'web ready 0 1')], 1, 2, 0.0)
+    reader.replace([put('a', 1, 'web ready 0 1')], 9, False, 1.0)
+    assert not reader.is_complete_since(1)
+    assert reader.is_complete_since(9)
+    behind, _ = reader.list_since(1)
+    within, _ = reader.list_since(2)
+    assert (behind, within) == (False, True)
+    follow(ahead, reader, 1.0)
+    assert names(ahead_board) == names(reader_board) == {'a'}
+
+
+def test_gaps_stay_known_however_many_there_are():
+    _, catalog = make_catalog()
+    for step in range(1, 20):
+        catalog.replace([], 10 * step, False, 0.0)
+    assert all(catalog.list_since(10 * step + 5)[0] for step in range(1, 19))
+    assert catalog.list_since(190) == (False, [])
+
+
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(OPERATIONS, st.randoms(use_true_random=False))
+def test_nodes_agree_whoever_read_whole_snapshots(operations, rng):
+    """Nodes start, read the store in part or whole and copy each other.
+
+    Whatever way a node took, it knows the servers of its revision.
+    """
+    newest: dict[str, catalogs.Item] = {}
+    expected = [set()]
+    nodes = [make_catalog() for _ in range(4)]
+    for revision, (key, state) in enumerate(operations, 1):
+        value = None if state == 'removed' else f'web {state} 0 {revision}'
+        newest[key] = catalogs.Item(key, revision, value and value.encode())
+        usable = expected[-1] - {key}
+        expected.append(usable | {key} if state == 'ready' else usable)
+        if rng.random() < 0.4:
+            nodes[rng.randrange(4)] = make_catalog()
+        _, reader = nodes[rng.randrange(4)]
+        if reader.revision == 0 or rng.random() < 0.3:
+            present = [i for i in newest.values() if i.value is not None]
+            reader.replace(present, revision, False, 0.0)
+        else:
+            since = reader.revision
+            changes = [i for i in newest.values() if i.revision > since]
+            reader.apply(changes, since, revision, 0.0)
+        for _ in range(3):
+            (_, one), (_, other) = rng.sample(nodes, 2)
+            if one.revision < other.revision:
+                follow(one, other, 0.0)
+        for board, catalog in nodes:
+            assert names(board) == expected[catalog.revision]
