Send nothing new to evacuated failure domains; bound what cold servers get

Cause: nothing read the operators' requests to evacuate a failure domain, nor the rate that a service states for its cold servers.

Servers there are not usable: no first attempt, retry, hedge, trial or part that waited goes there; parts and requests without another server are refused as `evacuated` with a time to come back. Listings include these keys where the settings give `evacuate_ms`. A cold server has a bucket of tokens at each node, as one that states a rate.

--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -9,6 +9,7 @@
 from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import actions
 from balsamshore_core.forwarding import departures
+from balsamshore_core.forwarding import evacuations
 from balsamshore_core.forwarding import quarantine as quarantines
 from balsamshore_core.forwarding import reachability as reachabilities
 from balsamshore_core.forwarding import retrybudgets
@@ -267,6 +268,8 @@
         slowness_reports: Slowness, by id, of the servers found slow since
             the last report to other nodes; `exchanges` adds entries and the
             host clears them when it sends the report.
+        evacuated: Failure domains whose servers get nothing new; set by
+            `catalog`.
         departed: Servers that said that they drain; see `departures`.
         departure_reports: What was heard of draining servers since the last
             report to other nodes, by server id; `statements` adds entries and
@@ -309,6 +312,9 @@
         default_factory=ExchangeSection
     )
     slowness_reports: dict[str, float] = dataclasses.field(default_factory=dict)
+    evacuated: evacuations.Evacuations = dataclasses.field(
+        default_factory=evacuations.Evacuations
+    )
     departed: departures.Departures = dataclasses.field(
         default_factory=lambda: departures.Departures(DEFAULT_DRAIN_S)
     )
@@ -340,12 +346,22 @@
         self, service: str, now: float
     ) -> collections.abc.Collection[servers.Server]:
         """Lists the servers of a service that may get a new request."""
-        candidates = self.registry.by_service.get(service)
-        if not candidates:
+        by_id = self.registry.by_service.get(service)
+        if not by_id:
             return ()
-        if not self.departed:
-            return candidates.values()
-        return self.departed.list_usable(candidates.values(), now)
+        candidates: collections.abc.Collection[servers.Server] = by_id.values()
+        if self.evacuated:
+            candidates = self.evacuated.list_usable(candidates)
+        if self.departed:
+            candidates = self.departed.list_usable(candidates, now)
+        return candidates
+
+    def find_absence(self, service: str) -> str:
+        """Returns why a service has no usable server."""
+        candidates = self.registry.by_service.get(service, {}).values()
+        if candidates and not self.evacuated.list_usable(candidates):
+            return 'evacuated'
+        return 'no_replicas'
 
     def list_departures(
         self, now: float
--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -18,8 +18,10 @@
 from typing import Protocol
 
 from balsamshore_core.forwarding import board as boards
+from balsamshore_core.forwarding import evacuations
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
+from balsamshore_core.forwarding import warmups
 
 ERA_SHIFT = 40  # bits of a revision within its era
 MAX_NUMBER = (1 << ERA_SHIFT) - 1  # largest revision of the store
@@ -86,7 +88,9 @@
 
     def decode(
         self, key: str, value: bytes
-    ) -> servers.ServerEntry | routes.RouteTable | None:
+    ) -> (
+        servers.ServerEntry | routes.RouteTable | evacuations.Evacuation | None
+    ):
         """Decodes one value; returns None when it is unusable."""
 
 
@@ -159,6 +163,13 @@
                 self._apply_item(item, changes, now)
             except Exception as error:
                 self._handle_error(error, item.key)
+        if self._board.registry.cold:
+            warmups.update_limits(
+                self._board.registry.cold,
+                self._board.table,
+                self._board.limit_phase,
+                now,
+            )
         return changes
 
     def replace(
@@ -283,6 +294,10 @@
             self._table_key = key
             self._undecodable.discard(key)
             return self._put_table(decoded, changes)
+        if isinstance(decoded, evacuations.Evacuation):
+            self._removed_at.pop(key, None)
+            _note(self._board.evacuated.put(key, decoded), changes)
+            return True
         known = self._entries.get(key)
         if (
             is_new_era
@@ -396,6 +411,7 @@
         key = item.key
         self._undecodable.discard(key)
         self._removed_at[key] = now
+        _note(self._board.evacuated.remove(key), changes)
         if item.retained and key in self._entries:
             self._retained_until[key] = now + RETENTION_S
             self._board.counters['entries_retained'] += 1
@@ -428,3 +444,8 @@
         self._board.registry.remove(entry.server_id)
         if used:
             changes.append(f'{entry.server_id} of {entry.service} was removed')
+
+
+def _note(change: str, changes: list[str]) -> None:
+    if change:
+        changes.append(change)
--- a/packages/core/balsamshore_core/forwarding/links.py
+++ b/packages/core/balsamshore_core/forwarding/links.py
@@ -173,9 +173,12 @@
         )
 
     def _probe(self, now: float, output: boards.Actions) -> None:
-        entries = reachability.choose_probed(
-            self._board.registry.list_servers(), self._board.rng
-        )
+        candidates = list(self._board.registry.list_servers())
+        if self._board.evacuated:
+            candidates = (
+                self._board.evacuated.list_usable(candidates) or candidates
+            )
+        entries = reachability.choose_probed(candidates, self._board.rng)
         if not entries:
             self._schedule_round(now + reachability.RECHECK_S)
             return
--- a/packages/core/balsamshore_core/forwarding/rates.py
+++ b/packages/core/balsamshore_core/forwarding/rates.py
@@ -16,6 +16,7 @@
 from balsamshore_core.forwarding import servers
 from balsamshore_core.forwarding import timers
 from balsamshore_core.forwarding import waitqueues
+from balsamshore_core.forwarding import warmups
 
 URGENT_TOKENS = 1.0  # of each server, kept for the most urgent classes
 MIN_WAIT_S = 0.001
@@ -76,12 +77,13 @@
         self, exchange: boards.Exchange, now: float
     ) -> list[boards.Part]:
         """Lists the parts that no server may get before the answer is due."""
-        if not self._limited:
+        limited = self._limited | self._list_warming()
+        if not limited:
             return []
         return [
             part
             for part in exchange.parts
-            if part.service in self._limited
+            if part.service in limited
             and self._find_expected_wait(part, now) > exchange.answer_at - now
         ]
 
@@ -114,11 +116,25 @@
         kept = self.find_kept_tokens(part.exchange.route)
         waits = []
         for server in self._list_servers(part.service, now):
-            missing = 1.0 - server.count_tokens(share, now, kept)
-            if server.limit is not None and missing > 0:
-                waits.append(missing / (server.limit.find_rate(now) * share))
+            if server.count_tokens(share, now, kept) >= 1.0:
+                continue
+            waits.append(
+                max(
+                    (1.0 - limit.count_tokens(share, now, kept))
+                    / (limit.find_rate(now) * share)
+                    for limit in warmups.list_limits(server)
+                )
+            )
         return min(waits, default=None)
 
+    def _list_warming(self) -> set[str]:
+        """Lists the services with servers that are limited while cold."""
+        return {
+            server.entry.service
+            for server in self._board.registry.cold.values()
+            if server.warmup is not None
+        }
+
     def _find_expected_wait(self, part: boards.Part, now: float) -> float:
         """Returns how long rate limits will make a part wait.
 
@@ -129,16 +145,25 @@
         kept = self.find_kept_tokens(route)
         share = self._board.limit_share
         tokens = rate = 0.0
-        limits = []
-        for server in self._list_servers(part.service, now):
+        rates = []
+        candidates = self._list_servers(part.service, now)
+        for server in candidates:
             tokens += max(0.0, server.count_tokens(share, now, kept))
-            limits.append(server.limit)
-        if not any(limits):
+            rates.append(
+                min(
+                    (
+                        limit.find_rate(now)
+                        for limit in warmups.list_limits(server)
+                    ),
+                    default=None,
+                )
+            )
+        if not any(server.limit for server in candidates):
             self._limited.discard(part.service)
-        for limit in limits:
-            if limit is None:
+        for server_rate in rates:
+            if server_rate is None:
                 return 0.0
-            rate += limit.find_rate(now) * share
+            rate += server_rate * share
         if not rate:
             return 0.0
         ahead = self._wait_queues.count_waiting(part.service, route.priority)
--- a/packages/core/balsamshore_core/forwarding/refusals.py
+++ b/packages/core/balsamshore_core/forwarding/refusals.py
@@ -68,9 +68,18 @@
             reachable
             < exchange.route.coverage_floor * len(exchange.parts) - 1e-9
         ):
-            return 'no_replicas'
+            return self._find_absence(exchange, now)
         if exchange.deadline_at <= exchange.arrived_at:
             return 'no_time'
         if parts_out and answers.is_floor_missed(exchange, len(parts_out)):
             return parts_out[0][1]
         return ''
+
+    def _find_absence(self, exchange: boards.Exchange, now: float) -> str:
+        """Returns why parts of a request have no usable server."""
+        reasons = {
+            self._board.find_absence(part.service)
+            for part in exchange.parts
+            if not self._board.list_usable(part.service, now)
+        }
+        return 'evacuated' if 'evacuated' in reasons else 'no_replicas'
--- a/packages/core/balsamshore_core/forwarding/routes.py
+++ b/packages/core/balsamshore_core/forwarding/routes.py
@@ -50,10 +50,18 @@
 
 
 class Service(NamedTuple):
-    """Limits of a service's backend servers."""
+    """Limits of a service's backend servers.
+
+    Attributes:
+        name: Name of the service.
+        max_connections: Connections that a server accepts from all nodes.
+        cold_rate: Requests a second that a cold server tolerates from all
+            nodes, or 0 if there is no bound.
+    """
 
     name: str
     max_connections: int
+    cold_rate: float = 0.0
 
 
 class CallerLimits(NamedTuple):
--- a/packages/core/balsamshore_core/forwarding/sends.py
+++ b/packages/core/balsamshore_core/forwarding/sends.py
@@ -18,6 +18,7 @@
 from balsamshore_core.forwarding import statements
 from balsamshore_core.forwarding import timers
 from balsamshore_core.forwarding import waitqueues
+from balsamshore_core.forwarding import warmups
 
 RESERVED_CONNECTIONS = 2  # of a server's limit, for overlapping restarts
 MAX_CONNECTIONS_PER_SERVER = 16  # of one node
@@ -80,7 +81,8 @@
         candidates = self._board.list_usable(part.service, now)
         if not candidates:
             if not part.live:
-                self._endings.fail_part(part, 'no_replicas', now, output)
+                reason = self._board.find_absence(part.service)
+                self._endings.fail_part(part, reason, now, output)
             return False
         server = self._choose_server(part, now)
         if server is None:
@@ -120,6 +122,8 @@
             if self._links.hold(part, now) or self._isolation.hold(part, now):
                 return True
             server = self._choose_server(part, now)
+            if server is None and self._fail_evacuated(part, now, output):
+                return True
             if server is None:
                 self._rates.wait(part, now)
                 self._statements.wait(part, now)
@@ -129,6 +133,19 @@
 
         self._wait_queues.send_waiting(service, now, send)
 
+    def _fail_evacuated(
+        self, part: boards.Part, now: float, output: boards.Actions
+    ) -> bool:
+        """Fails a part all of whose servers were evacuated while it waited."""
+        if (
+            not self._board.evacuated
+            or self._board.list_usable(part.service, now)
+            or self._board.find_absence(part.service) != 'evacuated'
+        ):
+            return False
+        self._endings.fail_part(part, 'evacuated', now, output)
+        return True
+
     def continue_waiting(
         self, part: boards.Part, now: float, output: boards.Actions
     ) -> None:
@@ -209,8 +226,8 @@
         self._state.next_attempt_id += 1
         alone = self._board.quarantine.is_suspected(exchange.fingerprint)
         attempt = boards.Attempt(attempt_id, part, server, now, alone)
-        if server.limit is not None:
-            server.limit.spend(self._board.limit_share, now)
+        for limit in warmups.list_limits(server):
+            limit.spend(self._board.limit_share, now)
         self._state.attempts[attempt_id] = attempt
         server.in_flight += 1
         server.suspects += alone
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -95,6 +95,8 @@
         slow_reply_at: When the last reply was received, if it was slow.
         suspects: Number of attempts in flight that may crash it.
         closed_until: Until when it wants no request from this node.
+        cold_until: Until when it is cold, as published.
+        warmup: The rate of requests while it is cold, or None.
         failed_share: Share of its recent requests that failed, were lost or
             were refused.
     """
@@ -102,6 +104,7 @@
     __slots__ = (
         'accepts_connections',
         'closed_until',
+        'cold_until',
         'crashed',
         'ejected_until',
         'entry',
@@ -116,6 +119,7 @@
         'slow_reply_at',
         'slowness',
         'suspects',
+        'warmup',
     )
 
     def __init__(self, entry: ServerEntry, now: float):
@@ -132,6 +136,8 @@
         self.slow_reply_at = -1e9
         self.ejected_until = 0.0
         self.closed_until = 0.0
+        self.cold_until = float('-inf')
+        self.warmup: ratelimits.RateLimit | None = None
         self.failures = 0
         self.failed_share = 0.0
         self.failure_sampled_at = now
@@ -245,19 +251,22 @@
     def count_tokens(
         self, share: float, now: float, kept: float = 0.0
     ) -> float:
-        """Returns how many requests the server's limit allows this node now.
+        """Returns how many requests the server's limits allow this node now.
 
         Args:
             share: This node's share of the limit, 0 to 1.
             now: Monotonic seconds.
             kept: Requests that are kept for more urgent classes.
         """
+        tokens = math.inf
+        if self.warmup is not None:
+            tokens = self.warmup.count_tokens(share, now, kept)
         if self.limit is None:
-            return math.inf
+            return tokens
         if self.limit.is_over(now):
             self.limit = None
-            return math.inf
-        return self.limit.count_tokens(share, now, kept)
+            return tokens
+        return min(tokens, self.limit.count_tokens(share, now, kept))
 
     def record_failure(self, now: float) -> None:
         """Records a lost, corrupted or failed reply."""
@@ -325,6 +334,10 @@
 
     An entry may lapse and return as the same incarnation; what that asked for
     still holds then.
+
+    Attributes:
+        by_service: Servers by service and id.
+        cold: Servers that are cold, or were; see `warmups`.
     """
 
     def __init__(self):
@@ -336,6 +349,7 @@
         self._statements: collections.OrderedDict[
             tuple[str, int], Statements
         ] = collections.OrderedDict()
+        self.cold: dict[str, Server] = {}
 
     def find(self, server_id: str) -> Server | None:
         """Returns a usable server, or None."""
@@ -401,6 +415,7 @@
             )
             if same and not entry.draining:
                 server.entry = entry
+                self._note_cold(server, now)
                 return
             self.remove(entry.server_id)
         if entry.draining:
@@ -410,10 +425,19 @@
         stated = self._statements.pop(entry.incarnation, Statements())
         server.closed_until, server.limit = stated
         self._service_of[entry.server_id] = entry.service
+        self._note_cold(server, now)
+
+    def _note_cold(self, server: Server, now: float) -> None:
+        if server.entry.cold_s > 0:
+            server.cold_until = max(
+                server.cold_until, now + server.entry.cold_s
+            )
+            self.cold[server.entry.server_id] = server
 
     def remove(self, server_id: str) -> None:
         """Removes a server; its running attempts continue."""
         self._misplaced.pop(server_id, None)
+        self.cold.pop(server_id, None)
         service = self._service_of.pop(server_id, None)
         if service is not None:
             self._remember(self.by_service[service].pop(server_id))
@@ -472,9 +496,8 @@
         if server.closed_until > now:
             continue
         if (
-            server.limit is not None
-            and server.count_tokens(limit_share, now, kept_tokens) < 1.0
-        ):
+            server.limit is not None or server.warmup is not None
+        ) and server.count_tokens(limit_share, now, kept_tokens) < 1.0:
             continue
         cost = server.current_slowness(now)
         cost *= 1.0 + server.in_flight / entry.slots
--- a/packages/node/balsamshore_node/forwarding/updates.py
+++ b/packages/node/balsamshore_node/forwarding/updates.py
@@ -95,8 +95,9 @@
 
         Only the revision is sent if the changes are too large, if this node had
         no revision before them, or if a snapshot brought them: nodes that know
-        more than it did before would take the list for complete. Without changes, the message states that the
-        revision was checked to be the store's newest.
+        more than it did before would take the list for complete. Without
+        changes, the message states that the revision was checked to be the
+        store's newest.
 
         Args:
             old_revision: Revision before the changes.
--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -390,6 +390,7 @@
             'limits.cpuShare': 0.5, 'limits.cores': 2,
             'bounds.graceS': GRACE_S,
             'bounds.drainMs': round(ledgers.DRAIN_S * 1000),
+            'bounds.evacuateMs': 5_000,
             'bounds.retryRatio': bounds.extra_ratio,
             'bounds.retrySlack': bounds.extra_slack,
             'bounds.retryWindowS': bounds.extra_window_s,
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -12,6 +12,7 @@
 import pytest
 
 from balsamshore_core.forwarding import actions
+from balsamshore_core.forwarding import evacuations
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
 from balsamshore_node.forwarding import logs
@@ -342,7 +343,7 @@
         'bootstrap': True,
         'portRange.0': 5, 'seeds': ['127.0.0.2:3'], 'limits.cpuShare': 0.5,
         'limits.cores': 2, 'bounds.graceS': 6, 'bounds.retryRatio': 0.2,
-        'bounds.drainMs': 5000,
+        'bounds.drainMs': 5000, 'bounds.evacuateMs': None,
         'bounds.retrySlack': 54, 'bounds.retryWindowS': 10,
         'platform.address': '127.0.0.1:6', **changes,
     }  # fmt: skip
@@ -364,6 +365,27 @@
     assert decoded.store_address == '127.0.0.1:6'
 
 
+@pytest.mark.parametrize(('bound', 'listed'), [(None, False), (5000, True)])
+def test_evacuations_are_listed_where_the_deployment_has_them(
+    tmp_path, bound, listed
+):
+    """Guards against a further store call where nobody can evacuate."""
+    path = tmp_path / 'settings.json'
+    path.write_text(fill_template(**{'bounds.evacuateMs': bound}))
+    decoded = settings.SettingsFile({'BALSAMSHORE_CONFIG': str(path)}).read()
+    assert decoded.evacuates is listed
+
+
+@pytest.mark.parametrize('value', [b'{}', b'', b'[1', b'\xff'])
+def test_the_key_of_an_evacuation_says_it_all(value):
+    decoder = documents.Decoder()
+    assert decoder.is_relevant('op/evacuate/z1')
+    assert not decoder.is_relevant('op/evacuate/')
+    assert decoder.decode('op/evacuate/z1', value) == evacuations.Evacuation(
+        'z1'
+    )
+
+
 def test_errors_for_invalid_settings_name_the_cause(tmp_path):
     with pytest.raises(settings.SettingsError, match='BALSAMSHORE_CONFIG'):
         settings.SettingsFile({})
