Take a reply without a status from 100 to 599 for no reply

Cause: the reply reader took 000, 007, 099, 600 and 999 as statuses of complete replies and kept their connections; the caller got `HTTP/1.1 0 Status`. Our own interface took 600 to 999.

Change: such bytes are an error of the protocol, as is 101, since no node asks for another protocol. The connection is dropped, and the part, the call of the store or the request that was passed on goes on as after bytes that are no response; all three use the same reader.

Not played on real processes.

--- a/packages/node/balsamshore_node/forwarding/messages.py
+++ b/packages/node/balsamshore_node/forwarding/messages.py
@@ -14,6 +14,7 @@
 PIECE_BYTES = 128  # of the body, for each further piece
 MAX_REPLY_FRAMING_BYTES = 1_048_576  # all but the body
 MAX_INTERIM_REPLIES = 16  # before the final one
+SWITCHING_PROTOCOLS = 101  # in reply to a request that no node sends
 JOINED_BYTES = 1_024  # smaller parts of a body are joined
 PART_BYTES = 128  # memory of a part besides its bytes
 FIELD_BYTES = 144  # memory of a header field besides its text
@@ -91,7 +92,8 @@
     """Reads one reply, of bounded size.
 
     `feed` and `feed_turn` raise `MessageError` if the bytes are not an HTTP/1.1
-    response, `TooLargeError` if it exceeds a limit.
+    response, `TooLargeError` if it exceeds a limit. A status outside 100 to 599
+    makes them none: a server in trouble sent 000.
 
     Attributes:
         body_bytes: Size of the body so far.
@@ -270,6 +272,8 @@
         assert self._parser is not None
         self._pending_bytes = 0
         self.status = self._parser.get_status_code()
+        if not _is_status(self.status):
+            raise MessageError(f'status {self.status:03}')
         if self.status in (204, 304):
             self._framed = True
         self.closing = not self._parser.should_keep_alive()
@@ -311,6 +315,11 @@
         parts.append(bytearray(data))
 
 
+def _is_status(status: int) -> bool:
+    """Returns whether a reply to a request of a node may have a status."""
+    return 100 <= status < 600 and status != SWITCHING_PROTOCOLS
+
+
 def _read_keep_alive(value: bytes) -> float:
     for field in value.split(b','):
         name, _, number = field.strip().partition(b'=')
--- a/packages/node/balsamshore_node/transport.py
+++ b/packages/node/balsamshore_node/transport.py
@@ -15,6 +15,7 @@
 
 RECEIVE_BUFFER_BYTES = 65_536
 MAX_REPLY_BYTES = 8_388_608
+MAX_STATUS = 599  # `h11` accepts up to 999
 
 
 class Reply(NamedTuple):
@@ -85,6 +86,8 @@
         while True:
             event = await self._next_event()
             if type(event) is h11.Response:
+                if event.status_code > MAX_STATUS:
+                    raise errors.BackendError('protocol')
                 response = event
             elif type(event) is h11.Data:
                 size += len(event.data)
