Refuse at once what a service cannot answer in time; learn what servers take

Cause: under overload every request was sent; it waited in the servers' queues until it was late, or failed as 502 after a wait. Servers were chosen by their slots and this node's own requests, and hedges went to servers that were as slow, which spent the budget that other parts needed.

Change: a node bounds what it has in flight at a service by a window that falls while replies are late or refused and grows otherwise (`admissions`); what does not fit is refused before anything is sent, with a time to come back in turn (`returns`). A class leaves a quarter to more urgent ones that are asked for. The number of requests that a server takes at once is learned (`capacities`); latency under load does not count as slowness; own requests in flight stand for those of other nodes by the square root of their number. Hedges are sent where another server would be in time, and less urgent classes leave a quarter of the budget. Both are on where the settings say so.

--- /dev/null
+++ b/packages/core/balsamshore_core/forwarding/admissions.py
@@ -0,0 +1,216 @@
+"""Which requests are admitted while a service has too little capacity.
+
+A node bounds what it has in flight at a service once the replies come too late
+to be of use, or servers refuse for lack of capacity. The bound is learned as
+congestion windows are: it falls by a factor while replies are late, and grows
+by one for each time that it is filled and they are not. No node needs to know
+the load of others, and a node with few requests has a small bound. It is never
+below this node's share of the slots of the service, with which nothing queues.
+
+A reply to a request that one server answers is late if it leaves no time for
+the answer to come within the objective. A part of a scattered request is late
+at half of the deadline only: its request may be answered without it, and a late
+answer is still worth something to its caller.
+
+What does not fit is refused at once, before anything is sent: a scattered
+request is admitted with the parts of its coverage floor or not at all.
+"""
+
+import collections.abc
+
+from balsamshore_core.forwarding import board as boards
+from balsamshore_core.forwarding import returns
+from balsamshore_core.forwarding import routes
+
+OBJECTIVE_SHARE = 0.8  # of the objective that a reply may take
+DEADLINE_SHARE = 0.5  # of the deadline that a part may take
+LATE_WEIGHT = 0.125  # of a reply in the share of late ones
+MAX_LATE_SHARE = 0.5  # a pause or one slow server makes fewer replies late
+DECREASE = 0.8
+# With less, nodes of few requests refuse while servers are free: at 40 nodes
+# with a bound of 1 each, fewer requests were in time than without bounds.
+MIN_BOUND = 3.0
+FULL_SHARE = 0.8  # of the bound in use, for it to grow
+URGENT_LIFETIME_S = 2.0  # a class that nobody asks for has nothing reserved
+LESS_URGENT_SHARE = 0.75  # of the bound, while a more urgent class is served
+CALM_S = 3.0  # without a late reply or refusal, the bound is lifted
+
+
+class _Bound:
+    """What this node may have in flight at one service.
+
+    Attributes:
+        limit: Requests in flight.
+        late_share: Share of late ones among recent replies.
+        latency_s: Mean time of recent replies.
+        changed_at: When the bound last fell.
+        pressed_at: When a reply was last late, or refused.
+    """
+
+    __slots__ = (
+        'changed_at',
+        'late_share',
+        'latency_s',
+        'limit',
+        'pressed_at',
+    )
+
+    def __init__(self):
+        self.limit = float('inf')
+        self.late_share = 0.0
+        self.latency_s = 0.0
+        self.changed_at = float('-inf')
+        self.pressed_at = float('-inf')
+
+
+class Admissions:
+    """Decides who is admitted and when the others may come back."""
+
+    def __init__(self, board: boards.Board):
+        self._board = board
+        self._bounds: dict[str, _Bound] = {}
+        self._bounded: set[str] = set()  # services whose bound is in force
+        # When each priority was last asked for, by service.
+        self._asked_at: dict[str, dict[int, float]] = {}
+        self._returns = returns.Returns(board.rng)
+
+    def record_reply(self, attempt: boards.Attempt, now: float) -> None:
+        """Learns from the latency of a reply."""
+        if not self._board.overload_control:
+            return
+        part = attempt.part
+        route = part.exchange.route
+        took_s = now - attempt.sent_at
+        bound = self._get_bound(part.service)
+        late = took_s > _find_allowed(route)
+        bound.late_share += LATE_WEIGHT * (late - bound.late_share)
+        bound.latency_s += LATE_WEIGHT * (took_s - bound.latency_s)
+        if late:
+            bound.pressed_at = now
+        if bound.late_share > MAX_LATE_SHARE:
+            self._lower(part.service, bound, now)
+        elif not late and part.service in self._bounded:
+            in_flight = self._count_in_flight(part.service)
+            if in_flight + 1 >= FULL_SHARE * bound.limit:
+                bound.limit += 1.0 / bound.limit
+
+    def record_refusal(self, attempt: boards.Attempt, now: float) -> None:
+        """Learns from the refusal of a server that is full."""
+        if not self._board.overload_control:
+            return
+        service = attempt.part.service
+        bound = self._get_bound(service)
+        bound.pressed_at = now
+        self._lower(service, bound, now)
+
+    def list_parts_out(
+        self, exchange: boards.Exchange, now: float
+    ) -> list[boards.Part]:
+        """Lists the parts for which there is no capacity."""
+        if not self._board.overload_control:
+            return []
+        priority = exchange.route.priority
+        for part in exchange.parts:
+            self._asked_at.setdefault(part.service, {})[priority] = now
+        if not self._bounded:
+            return []
+        return [
+            part
+            for part in exchange.parts
+            if part.service in self._bounded
+            and self._is_full(part.service, priority, now)
+        ]
+
+    def find_return(
+        self, exchange: boards.Exchange, service: str, now: float
+    ) -> float:
+        """Returns when the caller of a refused request may come back."""
+        bound = self._get_bound(service)
+        rate = bound.limit / max(bound.latency_s, returns.MIN_INTERVAL_S)
+        return self._returns.schedule(
+            service,
+            exchange.route.priority,
+            bound.latency_s,
+            rate,
+            exchange.deadline_at,
+            now,
+        )
+
+    def describe(self) -> dict[str, float]:
+        """Returns the bounds in force, by service."""
+        return {name: self._bounds[name].limit for name in self._bounded}
+
+    def _is_full(self, service: str, priority: int, now: float) -> bool:
+        bound = self._bounds[service]
+        if now - bound.pressed_at > CALM_S:
+            self._lift(service)
+            return False
+        limit = bound.limit
+        if self._is_more_urgent_asked(service, priority, now):
+            limit *= LESS_URGENT_SHARE
+        return self._count_in_flight(service) >= limit
+
+    def _is_more_urgent_asked(
+        self, service: str, priority: int, now: float
+    ) -> bool:
+        return any(
+            other < priority and now - at < URGENT_LIFETIME_S
+            for other, at in self._asked_at.get(service, {}).items()
+        )
+
+    def _lower(self, service: str, bound: _Bound, now: float) -> None:
+        """Lowers a bound, at most once in the time of a reply."""
+        if now - bound.changed_at < bound.latency_s:
+            return
+        bound.changed_at = now
+        in_flight = self._count_in_flight(service) + 1
+        bound.limit = max(
+            self._find_least(service, now),
+            DECREASE * min(bound.limit, in_flight),
+        )
+        if service not in self._bounded:
+            self._bounded.add(service)
+            self._board.counters['bounds_set'] += 1
+            self._note(service, f'{bound.limit:.1f} requests in flight')
+
+    def _lift(self, service: str) -> None:
+        self._bounded.discard(service)
+        self._bounds.pop(service, None)
+        self._note(service, 'lifted')
+
+    def _note(self, service: str, detail: str) -> None:
+        self._board.notes.append(boards.Note('bound', '', service, detail))
+
+    def _find_least(self, service: str, now: float) -> float:
+        """Returns this node's share of the slots of a service."""
+        slots = sum(
+            server.entry.slots
+            for server in self._board.list_usable(service, now)
+        )
+        return max(MIN_BOUND, slots / (len(self._board.peers) + 1))
+
+    def _count_in_flight(self, service: str) -> int:
+        candidates = self._board.registry.by_service.get(service, {})
+        return sum(server.in_flight for server in candidates.values())
+
+    def _get_bound(self, service: str) -> _Bound:
+        bound = self._bounds.get(service)
+        if bound is None:
+            bound = self._bounds[service] = _Bound()
+        return bound
+
+    def discard_unused(self, services: collections.abc.Container[str]) -> None:
+        """Forgets services that have no server any more."""
+        for name in [name for name in self._bounds if name not in services]:
+            self._bounded.discard(name)
+            del self._bounds[name]
+        for name in [name for name in self._asked_at if name not in services]:
+            del self._asked_at[name]
+        self._returns.discard_unused(services)
+
+
+def _find_allowed(route: routes.Route) -> float:
+    """Returns how many seconds a reply may take before it is late."""
+    if route.shards:
+        return DEADLINE_SHARE * route.timeout_s
+    return OBJECTIVE_SHARE * route.objective_s
--- a/packages/core/balsamshore_core/forwarding/answers.py
+++ b/packages/core/balsamshore_core/forwarding/answers.py
@@ -21,6 +21,7 @@
     knowledge.Telling.FAILURE: 'unknown',
     knowledge.Telling.REPLY: '',
 }
+OVERLOADED = 'overloaded'  # its callers come back in turn; see `returns`
 FLOAT_TOLERANCE = 1e-9  # 0.55 * 100 is slightly above 55 in floating point
 
 
@@ -46,6 +47,10 @@
     answer = forward(exchange, reason, reply)
     if answer.outcome != 'not run':
         return answer
+    if reason == OVERLOADED:
+        return answer._replace(
+            retry_after_s=round(exchange.unavailable_until - now, 3)
+        )
     return answer._replace(
         retry_after_s=max(
             choose_retry_delay(exchange.deadline_at - now, rng),
--- a/packages/core/balsamshore_core/forwarding/board.py
+++ b/packages/core/balsamshore_core/forwarding/board.py
@@ -106,6 +106,8 @@
     Attributes:
         abandoned: Whether its reply is no longer needed.
         alone: Whether it was sent while its request was a suspect.
+        load: Attempts known to be at the server when it was sent, this
+            included.
         overdue: Whether its hedge delay has passed, so that it is included
             in the server's number of overdue attempts.
     """
@@ -114,6 +116,7 @@
         'abandoned',
         'alone',
         'attempt_id',
+        'load',
         'overdue',
         'part',
         'sent_at',
@@ -134,6 +137,7 @@
         self.server = server
         self.sent_at = now
         self.abandoned = False
+        self.load = 1
         self.overdue = False
 
 
@@ -283,6 +287,10 @@
             no node had read it lately, monotonic seconds; set by the host.
         ended_servers: Incarnations that ended since the last look; `catalog`
             adds them and `exchanges` takes them.
+        learned_capacity: Whether servers are chosen by what they were seen to
+            take well.
+        overload_control: Whether requests for which a service lacks capacity
+            are refused.
         quarantine: Requests under which servers crashed; `exchanges` reports
             losses and answers, the host exchanges notices with other nodes.
         reachability: Whether this node reaches servers at all; updated by
@@ -334,6 +342,8 @@
     quarantine: quarantines.Quarantine = dataclasses.field(
         default_factory=quarantines.Quarantine
     )
+    learned_capacity: bool = False
+    overload_control: bool = False
     peers: tuple[Peer, ...] = ()
     reachability: reachabilities.Reachability = dataclasses.field(
         default_factory=reachabilities.Reachability
--- a/packages/core/balsamshore_core/forwarding/delays.py
+++ b/packages/core/balsamshore_core/forwarding/delays.py
@@ -30,6 +30,13 @@
             return None
         return elapsed_s / histogram.quantile(TYPICAL_QUANTILE)
 
+    def find_work_s(self, route: routes.Route) -> float:
+        """Returns the typical time of a reply; 0 with too few samples."""
+        histogram = self._get_histogram(route)
+        if histogram.count() < MIN_SAMPLES:
+            return 0.0
+        return histogram.quantile(TYPICAL_QUANTILE)
+
     def find_hedge_delay(self, route: routes.Route) -> float:
         """Returns after how many seconds an attempt counts as overdue.
 
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -13,6 +13,7 @@
 
 from balsamshore_core import ratelimits
 from balsamshore_core.forwarding import actions
+from balsamshore_core.forwarding import admissions
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import delays
@@ -63,8 +64,13 @@
         self._rates = rates.Rates(board, self._wait_queues, self._timers)
         self._statements = statements.Statements(board, self._timers)
         self._observations = observations.Observations(board, self._delays)
+        self._admissions = admissions.Admissions(board)
         self._refusals = refusals.Refusals(
-            board, self._isolation, self._rates, self._statements
+            board,
+            self._isolation,
+            self._rates,
+            self._statements,
+            self._admissions,
         )
         self._endings = endings.Endings(board, self._timers)
         self._relays = relays.Relays(board, self._endings)
@@ -170,12 +176,16 @@
             self._board.counters['misdirected'] += 1
         elif reply.refused:
             server.record_refusal(now)
+            self._admissions.record_refusal(attempt, now)
+            if self._board.learned_capacity:
+                server.capacity.record_refusal(server.in_flight, now)
             self._board.counters['refused_by_server'] += 1
         elif reply.failed:
             server.record_failure(now)
             self._board.counters['failed_by_server'] += 1
         else:
             self._observations.record_latency(attempt, now)
+            self._admissions.record_reply(attempt, now)
             self._isolation.record_answer(part.exchange.fingerprint, now)
         if not reply.misdirected:
             self._isolation.record_reply(server.entry)
--- a/packages/core/balsamshore_core/forwarding/observations.py
+++ b/packages/core/balsamshore_core/forwarding/observations.py
@@ -29,6 +29,12 @@
         if slowness is None:
             return
         server = attempt.server
+        if self._board.learned_capacity:
+            capacity = server.capacity
+            if not conclusive:
+                relative = slowness / max(server.current_slowness(now), 0.1)
+                capacity.record_latency(relative, attempt.load, now)
+            slowness /= capacity.find_effect(attempt.load)
         if server.record_reply(slowness, attempt.sent_at, now, conclusive):
             self._board.slowness_reports[server.entry.server_id] = (
                 server.slowness
--- a/packages/core/balsamshore_core/forwarding/refusals.py
+++ b/packages/core/balsamshore_core/forwarding/refusals.py
@@ -2,10 +2,11 @@
 
 A request is refused if it is stopped, because servers crash under it, if this
 node reaches no server, if too few of its parts can reach a server that wants
-requests, and if its time is over or the rate limits of servers make it wait
-past its deadline.
+requests, if its services lack the capacity, and if its time is over or the
+rate limits of servers make it wait past its deadline.
 """
 
+from balsamshore_core.forwarding import admissions
 from balsamshore_core.forwarding import answers
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import isolation
@@ -22,11 +23,13 @@
         suspects_isolation: isolation.Isolation,
         server_rates: rates.Rates,
         server_statements: statements.Statements,
+        request_admissions: admissions.Admissions,
     ):
         self._board = board
         self._isolation = suspects_isolation
         self._rates = server_rates
         self._statements = server_statements
+        self._admissions = request_admissions
 
     def list_parts_out(
         self, exchange: boards.Exchange, now: float
@@ -41,6 +44,10 @@
         for part in self._rates.list_parts_out(exchange, now):
             if part not in closed:
                 parts_out.append((part, 'rate_limited'))
+        known = [part for part, _ in parts_out]
+        for part in self._admissions.list_parts_out(exchange, now):
+            if part not in known:
+                parts_out.append((part, answers.OVERLOADED))
         return parts_out
 
     def find_refusal(
@@ -72,6 +79,12 @@
         if exchange.deadline_at <= exchange.arrived_at:
             return 'no_time'
         if parts_out and answers.is_floor_missed(exchange, len(parts_out)):
+            part, reason = parts_out[-1]
+            if reason == answers.OVERLOADED:
+                exchange.unavailable_until = self._admissions.find_return(
+                    exchange, part.service, now
+                )
+                return reason
             return parts_out[0][1]
         return ''
 
--- a/packages/core/balsamshore_core/forwarding/repeats.py
+++ b/packages/core/balsamshore_core/forwarding/repeats.py
@@ -11,9 +11,13 @@
 from balsamshore_core.forwarding import endings
 from balsamshore_core.forwarding import isolation
 from balsamshore_core.forwarding import links
+from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import sends
 from balsamshore_core.forwarding import timers
 
+# Of the budget of extra attempts: hedges of wide, less urgent requests would
+# use all of it while many servers are slow.
+URGENT_BUDGET_SHARE = 0.25
 MAX_SENDS = 5  # attempts for one part, refusals included
 
 
@@ -95,8 +99,15 @@
         if now < hedge_at:
             self._timers.start(hedge_at, 'hedge', attempt_id)
             return
+        if self._board.learned_capacity and not self._sends.is_hedge_useful(
+            attempt, now
+        ):
+            self._board.counters['hedge_useless'] += 1
+            return
         budget = self._board.get_retry_budget(part.service)
-        if not budget.allows_hedge(now, self._board.slack_share):
+        if not budget.allows_hedge(
+            now, self._board.slack_share, self._find_kept_share(route)
+        ):
             self._board.counters['hedge_denied'] += 1
             spent = budget.describe(now, self._board.slack_share)
             part.exchange.record_step(
@@ -106,6 +117,17 @@
         if self._sends.dispatch_part(part, 'hedge', now, output):
             budget.spend(now, self._board.slack_share)
 
+    def _find_kept_share(self, route: routes.Route) -> float:
+        """Returns the share of a budget that a class leaves to urgent ones."""
+        table = self._board.table
+        if (
+            not self._board.overload_control
+            or table is None
+            or route.priority <= table.urgent_priority
+        ):
+            return 0.0
+        return URGENT_BUDGET_SHARE
+
     def isolate(
         self, fingerprint: str, now: float, output: boards.Actions
     ) -> None:
--- a/packages/core/balsamshore_core/forwarding/retrybudgets.py
+++ b/packages/core/balsamshore_core/forwarding/retrybudgets.py
@@ -76,7 +76,9 @@
         self._add(self._requested_retries, now)
         return self.spend(now, share)
 
-    def allows_hedge(self, now: float, share: float) -> bool:
+    def allows_hedge(
+        self, now: float, share: float, kept_share: float = 0.0
+    ) -> bool:
         """Returns whether a hedge leaves enough budget for expected retries.
 
         As many retries are expected as were requested recently.
@@ -84,10 +86,13 @@
         Args:
             now: Monotonic seconds.
             share: This node's share of the slack, 0 to 1.
+            kept_share: Share of the budget that is kept for urgent classes.
         """
         self._expire(self._requested_retries, now, RETRY_FORECAST_SLOTS)
         expected = sum(count for _, count in self._requested_retries)
-        return self.count_left(now, share) >= 1.0 + expected
+        left = self.count_left(now, share)
+        kept = kept_share * (left + self._extras_sum)
+        return left >= 1.0 + expected + kept
 
     def spend(self, now: float, share: float) -> bool:
         """Spends one extra attempt, or returns False when none is left.
--- a/packages/core/balsamshore_core/forwarding/sends.py
+++ b/packages/core/balsamshore_core/forwarding/sends.py
@@ -22,6 +22,7 @@
 
 RESERVED_CONNECTIONS = 2  # of a server's limit, for overlapping restarts
 MAX_CONNECTIONS_PER_SERVER = 16  # of one node
+STUCK_FACTOR = 4.0  # times the usual time of a server; no reply may come
 
 
 class Sends:
@@ -211,8 +212,30 @@
             self._board.quarantine.is_suspected(part.exchange.fingerprint),
             self._board.limit_share,
             self._rates.find_kept_tokens(part.exchange.route),
+            len(self._board.peers) + 1 if self._board.learned_capacity else 0,
         )
 
+    def is_hedge_useful(self, attempt: boards.Attempt, now: float) -> bool:
+        """Returns whether another server would answer a late part in time.
+
+        Where all other servers of a shard are slow as well, hedges only spend
+        the budget that parts at other shards need. An attempt that takes
+        several times what its server usually needs is hedged all the same.
+        """
+        part = attempt.part
+        exchange = part.exchange
+        work_s = self._delays.find_work_s(exchange.route)
+        server = self._choose_server(part, now)
+        if server is None or not work_s:
+            return server is not None
+        expected_s = server.expect_s(work_s, now)
+        usual_s = work_s * attempt.server.current_slowness(now)
+        elapsed_s = now - attempt.sent_at
+        if elapsed_s > STUCK_FACTOR * usual_s:
+            return True
+        left_s = exchange.answer_at - now
+        return expected_s <= left_s or expected_s < usual_s - elapsed_s
+
     def _send_attempt(
         self,
         part: boards.Part,
@@ -230,6 +253,7 @@
             limit.spend(self._board.limit_share, now)
         self._state.attempts[attempt_id] = attempt
         server.in_flight += 1
+        attempt.load = server.in_flight
         server.suspects += alone
         exchange.running += 1
         server_id = server.entry.server_id
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from balsamshore_core import ratelimits
+from balsamshore_core.forwarding import capacities
 
 EWMA_WEIGHT = 0.25  # of a new sample of slowness
 SLOW_SAMPLE = 3.0  # a reply that takes this many times the typical time is slow
@@ -83,6 +84,7 @@
     """Observations of one incarnation of a backend server.
 
     Attributes:
+        capacity: How many requests at once it takes well.
         accepts_connections: Whether it replied since it last reset a
             connection.
         failures: Number of consecutive failures, at most 8.
@@ -103,6 +105,7 @@
 
     __slots__ = (
         'accepts_connections',
+        'capacity',
         'closed_until',
         'cold_until',
         'crashed',
@@ -124,6 +127,7 @@
 
     def __init__(self, entry: ServerEntry, now: float):
         self.entry = entry
+        self.capacity = capacities.Capacity(entry.slots)
         self.accepts_connections = False
         self.in_flight = 0
         self.limit: ratelimits.RateLimit | None = None
@@ -268,6 +272,20 @@
             return tokens
         return min(tokens, self.limit.count_tokens(share, now, kept))
 
+    def has_free_slot(self) -> bool:
+        """Returns whether one more request of this node would not wait."""
+        return self.in_flight < self.capacity.limit
+
+    def expect_s(self, work_s: float, now: float) -> float:
+        """Returns how long a reply to one more request takes.
+
+        Args:
+            work_s: Service time of its class at a typical server.
+            now: Monotonic seconds.
+        """
+        effect = self.capacity.find_effect(self.in_flight + 1)
+        return work_s * self.current_slowness(now) * effect
+
     def record_failure(self, now: float) -> None:
         """Records a lost, corrupted or failed reply."""
         ejection_s = min(INITIAL_EJECTION_S * 2**self.failures, MAX_EJECTION_S)
@@ -468,6 +486,7 @@
     suspected: bool = False,
     limit_share: float = 1.0,
     kept_tokens: float = 0.0,
+    nodes: int = 0,
 ) -> Server | None:
     """Chooses the server that is expected to reply first.
 
@@ -483,11 +502,16 @@
         limit_share: This node's share of the rate limits of servers.
         kept_tokens: How many requests of each rate limit are kept for more
             urgent classes.
+        nodes: Number of nodes that send to these servers, if the capacity
+            that was learned counts; 0 if the slots do. Each node sees its own
+            requests only; weighted by the square root of the number of nodes
+            they stand for all.
 
     Returns:
         The server, or None when every server was tried, has reached the
         connection limit, wants no request now or may get no more.
     """
+    nodes_weight = math.sqrt(nodes)
     best, best_cost = None, 0.0
     for server in servers:
         entry = server.entry
@@ -499,8 +523,13 @@
             server.limit is not None or server.warmup is not None
         ) and server.count_tokens(limit_share, now, kept_tokens) < 1.0:
             continue
-        cost = server.current_slowness(now)
-        cost *= 1.0 + server.in_flight / entry.slots
+        if nodes:
+            in_flight = nodes_weight * server.in_flight
+            cost = server.current_slowness(now)
+            cost *= 1.0 + in_flight / server.capacity.limit
+        else:
+            cost = server.current_slowness(now)
+            cost *= 1.0 + server.in_flight / entry.slots
         cost += JITTER * rng.random()
         if server.failed_share:
             cost += FAILURE_COST * server.current_failed_share(now)
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -97,6 +97,8 @@
             settings.failure_domain, rng, settings.retry_budget_limits, now
         )
         self.board.departed.drain_s = settings.drain_s
+        self.board.learned_capacity = settings.learned_capacity
+        self.board.overload_control = settings.overload_control
         self._faults = faults.Faults(self.board.counters, self.now)
         self.fleet = fleets.Fleet(
             fleets.NodeRecord(
--- a/packages/node/balsamshore_node/forwarding/reports.py
+++ b/packages/node/balsamshore_node/forwarding/reports.py
@@ -20,6 +20,7 @@
     'cleared': 'a backend server answered a suspected request',
 }
 STATEMENTS = {
+    'bound': 'bound on what this node has in flight at a service',
     'draining': 'a backend server says that it drains; it gets nothing new',
     'closed': 'a backend server wants no request from this node for a while',
     'unreadable': 'a backend server states what cannot be read; ignored',
--- a/packages/node/balsamshore_node/forwarding/settings.py
+++ b/packages/node/balsamshore_node/forwarding/settings.py
@@ -25,6 +25,10 @@
         first_start: Whether the whole fleet starts for the first time.
         source_address: IP address from which backend servers are reached, or
             '' for the one that the kernel chooses.
+        learned_capacity: Whether servers are chosen by what they were seen to
+            take well.
+        overload_control: Whether requests for which a service lacks capacity
+            are refused.
         drain_s: How long a server goes on serving once it says that it drains.
     """
 
@@ -42,3 +46,5 @@
     first_start: bool = False
     source_address: str = ''
     drain_s: float = board.DEFAULT_DRAIN_S
+    learned_capacity: bool = False
+    overload_control: bool = False
