--- a/packages/cli/balsamshore_cli/explanations.py
+++ b/packages/cli/balsamshore_cli/explanations.py
@@ -12,6 +12,8 @@
 RETURN_SHOWN_S = 30.0  # what the store lost is written again in less
 REASONS = {
     'no_replicas': 'too few of its shards had a usable backend server',
+    'evacuated': 'its usable backend servers are in evacuated failure domains',
+    'overloaded': 'the service had no capacity to answer it in time',
     'rate_limited': (
         'its backend servers take no more requests in time, as they state'
     ),
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -466,6 +466,14 @@
         """Returns how many callers are waiting for an answer."""
         return len(self._state.exchanges)
 
+    def describe_bounds(self) -> dict[str, float]:
+        """Returns what this node may have in flight, by overloaded service."""
+        return self._admissions.describe()
+
+    def expire(self) -> None:
+        """Forgets what is known of services without servers."""
+        self._admissions.discard_unused(self._board.registry.by_service)
+
     def count_held(self) -> int:
         """Returns how many parts of suspects wait for their turn."""
         return self._isolation.count_held()
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -387,6 +387,7 @@
 
     def _expire_state(self, now: float) -> None:
         self.board.quarantine.expire(now)
+        self.exchanges.expire()
         self._requests.pool.close_expired()
 
     def _measure_usage(self, now: float) -> None:
@@ -509,6 +510,9 @@
             'replies_held_bytes': self._requests.pool.held.held_bytes,
             'callers_held_bytes': self._front.held.held_bytes,
             'members_alive': len(self.fleet.list_alive(now)) + 1,
+            'services_bounded': len(self.exchanges.describe_bounds()),
+            'domains_evacuated': len(self.board.evacuated.domains),
+            'servers_cold': len(self.board.registry.cold),
             'senders': self.board.senders,
             'slack_share': self.board.slack_share,
             'requests_suspected': suspected,
