Count a refusal as a late reply, not as overload by itself

Cause: one server of several that refuses without being full bounded its service at this node, and requests were refused while others were free.

Change: a refusal adds to the share of late replies.

--- a/packages/core/balsamshore_core/forwarding/admissions.py
+++ b/packages/core/balsamshore_core/forwarding/admissions.py
@@ -25,7 +25,7 @@
 OBJECTIVE_SHARE = 0.8  # of the objective that a reply may take
 DEADLINE_SHARE = 0.5  # of the deadline that a part may take
 LATE_WEIGHT = 0.125  # of a reply in the share of late ones
-MAX_LATE_SHARE = 0.5  # a pause or one slow server makes fewer replies late
+MAX_LATE_SHARE = 0.5  # pauses, or one server of three, make fewer replies late
 DECREASE = 0.8
 # With less, nodes of few requests refuse while servers are free: at 40 nodes
 # with a bound of 1 each, fewer requests were in time than without bounds.
@@ -95,13 +95,19 @@
                 bound.limit += 1.0 / bound.limit
 
     def record_refusal(self, attempt: boards.Attempt, now: float) -> None:
-        """Learns from the refusal of a server that is full."""
+        """Learns from the refusal of a server that is full.
+
+        It counts as a late reply: one server of several may refuse without
+        being full.
+        """
         if not self._board.overload_control:
             return
         service = attempt.part.service
         bound = self._get_bound(service)
+        bound.late_share += LATE_WEIGHT * (1.0 - bound.late_share)
         bound.pressed_at = now
-        self._lower(service, bound, now)
+        if bound.late_share > MAX_LATE_SHARE:
+            self._lower(service, bound, now)
 
     def list_parts_out(
         self, exchange: boards.Exchange, now: float
