--- a/packages/core/balsamshore_core/forwarding/admissions.py
+++ b/packages/core/balsamshore_core/forwarding/admissions.py
@@ -9,8 +9,8 @@
 
 A reply to a request that one server answers is late if it leaves no time for
 the answer to come within the objective. A part of a scattered request is late
-at half of the deadline only: its request may be answered without it, and a late
-answer is still worth something to its caller.
+at three quarters of the deadline only: its request may be answered without it,
+and a late answer is still worth something to its caller.
 
 What does not fit is refused at once, before anything is sent: a scattered
 request is admitted with the parts of its coverage floor or not at all.
@@ -23,7 +23,7 @@
 from balsamshore_core.forwarding import routes
 
 OBJECTIVE_SHARE = 0.8  # of the objective that a reply may take
-DEADLINE_SHARE = 0.5  # of the deadline that a part may take
+DEADLINE_SHARE = 0.75  # of the deadline that a part may take
 LATE_WEIGHT = 0.125  # of a reply in the share of late ones
 MAX_LATE_SHARE = 0.5  # pauses, or one server of three, make fewer replies late
 DECREASE = 0.8
--- a/packages/core/balsamshore_core/forwarding/sends.py
+++ b/packages/core/balsamshore_core/forwarding/sends.py
@@ -14,6 +14,7 @@
 from balsamshore_core.forwarding import isolation
 from balsamshore_core.forwarding import links
 from balsamshore_core.forwarding import rates
+from balsamshore_core.forwarding import selection
 from balsamshore_core.forwarding import servers
 from balsamshore_core.forwarding import statements
 from balsamshore_core.forwarding import timers
@@ -202,7 +203,7 @@
     def _choose_server(
         self, part: boards.Part, now: float
     ) -> servers.Server | None:
-        return servers.choose_server(
+        return selection.choose_server(
             self._board.list_usable(part.service, now),
             part.tried,
             self._board.failure_domain,
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -1,15 +1,11 @@
-"""Backend servers as this node observes them, and server selection.
+"""Backend servers as this node observes them.
 
-Observations of this node take precedence over what servers publish. A server
-with an overdue attempt is avoided until it replies; a server that fails is
-ejected for a time that doubles with each failure. Both add to its cost, so it
-is still chosen if all other servers cost more.
+Observations of this node take precedence over what servers publish.
 """
 
 import collections
 import collections.abc
 import math
-import random
 from typing import NamedTuple
 
 from balsamshore_core import ratelimits
@@ -18,7 +14,6 @@
 EWMA_WEIGHT = 0.25  # of a new sample of slowness
 SLOW_SAMPLE = 3.0  # a reply that takes this many times the typical time is slow
 FAILURE_WEIGHT = 0.1  # of a new sample; a single failure shows no trend
-FAILURE_COST = 4.0  # for a server that always fails; one failure costs 0.4
 PEER_REPORT_WEIGHT = 0.75  # of a slowness report from another node
 OWN_SAMPLE_MAX_AGE_S = 1.0  # newer samples take precedence over reports
 MAX_SLOWNESS = 8.0  # a single pause of 200 ms must not outweigh many replies
@@ -26,14 +21,8 @@
 INITIAL_EJECTION_S = 0.4  # after the first failure
 MAX_EJECTION_S = 4.0  # a dead server misses three heartbeats in this time
 REFUSAL_EJECTION_S = 0.15  # after a refusal for lack of capacity
-# All costs are in units of slowness.
-REMOTE_COST = 0.4  # of servers in another failure domain
 COLD_SLOWNESS = 1.6  # replicas are slower by this factor after their start
-JITTER = 0.1  # so that nodes with equal observations choose differently
-OVERDUE_COST = 20.0
-EJECTION_COST = 50.0
 MAX_REMEMBERED = 256  # removed servers that want no requests, or few
-SUSPECT_COST = 20.0  # of a request that may crash the server
 
 
 class ServerEntry(NamedTuple):
@@ -474,73 +463,3 @@
             )
             if len(self._statements) > MAX_REMEMBERED:
                 self._statements.popitem(last=False)
-
-
-def choose_server(
-    servers: collections.abc.Iterable[Server],
-    tried: collections.abc.Container[str],
-    failure_domain: str,
-    max_in_flight: int,
-    now: float,
-    rng: random.Random,
-    suspected: bool = False,
-    limit_share: float = 1.0,
-    kept_tokens: float = 0.0,
-    nodes: int = 0,
-) -> Server | None:
-    """Chooses the server that is expected to reply first.
-
-    Args:
-        servers: Usable servers of one service.
-        tried: Ids of servers that this request was already sent to.
-        failure_domain: Failure domain of this node.
-        max_in_flight: Connections that this node may hold to each server.
-        now: Monotonic seconds.
-        rng: The node's seeded generator.
-        suspected: Whether the request may crash the server. It then goes where
-            no other request runs, if possible.
-        limit_share: This node's share of the rate limits of servers.
-        kept_tokens: How many requests of each rate limit are kept for more
-            urgent classes.
-        nodes: Number of nodes that send to these servers, if the capacity
-            that was learned counts; 0 if the slots do. Each node sees its own
-            requests only; weighted by the square root of the number of nodes
-            they stand for all.
-
-    Returns:
-        The server, or None when every server was tried, has reached the
-        connection limit, wants no request now or may get no more.
-    """
-    nodes_weight = math.sqrt(nodes)
-    best, best_cost = None, 0.0
-    for server in servers:
-        entry = server.entry
-        if server.in_flight >= max_in_flight or entry.server_id in tried:
-            continue
-        if server.closed_until > now:
-            continue
-        if (
-            server.limit is not None or server.warmup is not None
-        ) and server.count_tokens(limit_share, now, kept_tokens) < 1.0:
-            continue
-        if nodes:
-            in_flight = nodes_weight * server.in_flight
-            cost = server.current_slowness(now)
-            cost *= 1.0 + in_flight / server.capacity.limit
-        else:
-            cost = server.current_slowness(now)
-            cost *= 1.0 + server.in_flight / entry.slots
-        cost += JITTER * rng.random()
-        if server.failed_share:
-            cost += FAILURE_COST * server.current_failed_share(now)
-        if entry.failure_domain != failure_domain:
-            cost += REMOTE_COST
-        if server.overdue:
-            cost += OVERDUE_COST
-        if server.ejected_until > now:
-            cost += EJECTION_COST
-        if server.suspects or (suspected and server.in_flight):
-            cost += SUSPECT_COST
-        if best is None or cost < best_cost:
-            best, best_cost = server, cost
-    return best
