Keep the cost of admission and learned capacity to what overload needs

Change: a service is counted from its first late reply on, priorities that are asked for are kept by route, single requests are sampled.

--- a/packages/core/balsamshore_core/forwarding/admissions.py
+++ b/packages/core/balsamshore_core/forwarding/admissions.py
@@ -17,6 +17,7 @@
 """
 
 import collections.abc
+import math
 
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import returns
@@ -30,6 +31,7 @@
 # With less, nodes of few requests refuse while servers are free: at 40 nodes
 # with a bound of 1 each, fewer requests were in time than without bounds.
 MIN_BOUND = 3.0
+FORGOTTEN_LATE_SHARE = 0.01  # replies of such services are not counted
 FULL_SHARE = 0.8  # of the bound in use, for it to grow
 URGENT_LIFETIME_S = 2.0  # a class that nobody asks for has nothing reserved
 LESS_URGENT_SHARE = 0.75  # of the bound, while a more urgent class is served
@@ -70,8 +72,7 @@
         self._board = board
         self._bounds: dict[str, _Bound] = {}
         self._bounded: set[str] = set()  # services whose bound is in force
-        # When each priority was last asked for, by service.
-        self._asked_at: dict[str, dict[int, float]] = {}
+        self._asked_at: dict[str, float] = {}  # by route name
         self._returns = returns.Returns(board.rng)
 
     def record_reply(self, attempt: boards.Attempt, now: float) -> None:
@@ -79,17 +80,21 @@
         if not self._board.overload_control:
             return
         part = attempt.part
-        route = part.exchange.route
         took_s = now - attempt.sent_at
+        late = took_s > _find_allowed(part.exchange.route)
+        if not late and part.service not in self._bounds:
+            return
         bound = self._get_bound(part.service)
-        late = took_s > _find_allowed(route)
         bound.late_share += LATE_WEIGHT * (late - bound.late_share)
         bound.latency_s += LATE_WEIGHT * (took_s - bound.latency_s)
         if late:
             bound.pressed_at = now
         if bound.late_share > MAX_LATE_SHARE:
             self._lower(part.service, bound, now)
-        elif not late and part.service in self._bounded:
+        elif part.service not in self._bounded:
+            if bound.late_share < FORGOTTEN_LATE_SHARE:
+                del self._bounds[part.service]
+        elif not late:
             in_flight = self._count_in_flight(part.service)
             if in_flight + 1 >= FULL_SHARE * bound.limit:
                 bound.limit += 1.0 / bound.limit
@@ -115,16 +120,14 @@
         """Lists the parts for which there is no capacity."""
         if not self._board.overload_control:
             return []
-        priority = exchange.route.priority
-        for part in exchange.parts:
-            self._asked_at.setdefault(part.service, {})[priority] = now
+        self._asked_at[exchange.route.name] = now
         if not self._bounded:
             return []
         return [
             part
             for part in exchange.parts
             if part.service in self._bounded
-            and self._is_full(part.service, priority, now)
+            and self._is_full(part.service, exchange.route.priority, now)
         ]
 
     def find_return(
@@ -159,9 +162,15 @@
     def _is_more_urgent_asked(
         self, service: str, priority: int, now: float
     ) -> bool:
+        table = self._board.table
+        routes_in_force = table.by_host.values() if table is not None else ()
         return any(
-            other < priority and now - at < URGENT_LIFETIME_S
-            for other, at in self._asked_at.get(service, {}).items()
+            route.priority < priority
+            and now - self._asked_at.get(route.name, -math.inf)
+            < URGENT_LIFETIME_S
+            and route.uses(service)
+            for host_routes in routes_in_force
+            for route in host_routes
         )
 
     def _lower(self, service: str, bound: _Bound, now: float) -> None:
@@ -205,13 +214,16 @@
             bound = self._bounds[service] = _Bound()
         return bound
 
-    def discard_unused(self, services: collections.abc.Container[str]) -> None:
-        """Forgets services that have no server any more."""
+    def discard_unused(
+        self, services: collections.abc.Container[str], now: float
+    ) -> None:
+        """Forgets services without servers and routes that nobody uses."""
+        for name, at in tuple(self._asked_at.items()):
+            if now - at > URGENT_LIFETIME_S:
+                del self._asked_at[name]
         for name in [name for name in self._bounds if name not in services]:
             self._bounded.discard(name)
             del self._bounds[name]
-        for name in [name for name in self._asked_at if name not in services]:
-            del self._asked_at[name]
         self._returns.discard_unused(services)
 
 
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -470,9 +470,9 @@
         """Returns what this node may have in flight, by overloaded service."""
         return self._admissions.describe()
 
-    def expire(self) -> None:
+    def expire(self, now: float) -> None:
         """Forgets what is known of services without servers."""
-        self._admissions.discard_unused(self._board.registry.by_service)
+        self._admissions.discard_unused(self._board.registry.by_service, now)
 
     def count_held(self) -> int:
         """Returns how many parts of suspects wait for their turn."""
--- a/packages/core/balsamshore_core/forwarding/observations.py
+++ b/packages/core/balsamshore_core/forwarding/observations.py
@@ -4,6 +4,10 @@
 from balsamshore_core.forwarding import delays
 from balsamshore_core.forwarding import servers
 
+# Most requests are alone at their server; a few of them suffice.
+SINGLES_PER_SAMPLE = 4
+MIN_SLOWNESS = 0.1
+
 
 class Observations:
     """Records what attempts show about their servers."""
@@ -30,11 +34,7 @@
             return
         server = attempt.server
         if self._board.learned_capacity:
-            capacity = server.capacity
-            if not conclusive:
-                relative = slowness / max(server.current_slowness(now), 0.1)
-                capacity.record_latency(relative, attempt.load, now)
-            slowness /= capacity.find_effect(attempt.load)
+            slowness = _learn_capacity(attempt, slowness, conclusive, now)
         if server.record_reply(slowness, attempt.sent_at, now, conclusive):
             self._board.slowness_reports[server.entry.server_id] = (
                 server.slowness
@@ -51,3 +51,19 @@
                 server.record_refusal(now)
                 return
         server.record_failure(now)
+
+
+def _learn_capacity(
+    attempt: boards.Attempt, slowness: float, conclusive: bool, now: float
+) -> float:
+    """Returns the slowness without the effect of the requests in flight."""
+    server = attempt.server
+    capacity = server.capacity
+    if not conclusive and (
+        attempt.load > 1 or attempt.attempt_id % SINGLES_PER_SAMPLE == 0
+    ):
+        relative = slowness / max(server.slowness, MIN_SLOWNESS)
+        capacity.record_latency(relative, attempt.load, now)
+    if attempt.load > capacity.limit:
+        slowness /= capacity.find_effect(attempt.load)
+    return slowness
--- a/packages/core/balsamshore_core/forwarding/routes.py
+++ b/packages/core/balsamshore_core/forwarding/routes.py
@@ -48,6 +48,12 @@
     top_records: int = 0
     coverage_floor: float = 0.0
 
+    def uses(self, service: str) -> bool:
+        """Returns whether requests of the class go to a service."""
+        return service in self.shards or any(
+            service == split.service for split in self.services
+        )
+
 
 class Service(NamedTuple):
     """Limits of a service's backend servers.
--- a/packages/node/balsamshore_node/forwarding/host.py
+++ b/packages/node/balsamshore_node/forwarding/host.py
@@ -387,7 +387,7 @@
 
     def _expire_state(self, now: float) -> None:
         self.board.quarantine.expire(now)
-        self.exchanges.expire()
+        self.exchanges.expire(now)
         self._requests.pool.close_expired()
 
     def _measure_usage(self, now: float) -> None:
