Let operators of the own interface evacuate a failure domain

Cause: only the operators' machines had a way to empty a domain.

Change: the configuration document may name `evacuated_domains`. `balsamshore targets evacuate` writes the document to publish; `status` shows what is in force.

--- a/packages/cli/balsamshore_cli/client.py
+++ b/packages/cli/balsamshore_cli/client.py
@@ -46,6 +46,10 @@
         others = [vm for vm in self._vms if vm not in recommended]
         self._vms = [*recommended, *others]
 
+    def check_change(self, change: dict[str, Any]) -> Any:
+        """Returns what a node says of a change, with the whole document."""
+        return self._request('POST', '/v1/targets/check', json=change)
+
     def create_request_id(self) -> str:
         """Returns a new id, under which one request runs at most once."""
         return self._request('POST', '/v1/request-ids')['request_id']
--- a/packages/cli/balsamshore_cli/definitions.py
+++ b/packages/cli/balsamshore_cli/definitions.py
@@ -38,6 +38,18 @@
         """Compares the targets of a document with those in force."""
         return operators.compare_targets(self._env, file, vms)
 
+    @fire.decorators.SetParseFn(str)
+    def evacuate(
+        self, domain: str, back: str = 'no', vms: str = ''
+    ) -> statuses.ExitStatus:
+        """Writes a configuration that sends nothing to a failure domain.
+
+        Publish it your usual way; with --back=yes the domain is used again.
+        """
+        return operators.evacuate_domain(
+            self._env, domain, back in ('yes', 'True'), vms
+        )
+
 
 class Commands:
     """Command line of balsamshore, a query tier over many shards.
--- a/packages/cli/balsamshore_cli/operators.py
+++ b/packages/cli/balsamshore_cli/operators.py
@@ -24,6 +24,9 @@
         f'VM {view["vm"]}: {view["state"]}, configuration {view["version"]}, '
         f'extra load {view["extra_load"]:.1%}\n'
     )
+    if view.get('evacuated_domains'):
+        domains = ', '.join(view['evacuated_domains'])
+        env.stdout.write(f'Evacuated failure domains: {domains}\n')
     for problem in view['problems'] or ['Nothing is wrong.']:
         env.stdout.write(f'- {problem}\n')
     columns = ('class', 'in target', 'asked', 'coverage', 'p50 ms', 'p99 ms')
@@ -103,6 +106,30 @@
     return status.ExitStatus.SUCCESS
 
 
+def evacuate_domain(
+    env: environment.Environment, domain: str, back: bool, vms: str
+) -> status.ExitStatus:
+    """Writes the document that evacuates a failure domain, to be published.
+
+    Args:
+        env: The process environment.
+        domain: The failure domain.
+        back: Whether its servers are to be used again.
+        vms: Addresses of entry VMs.
+    """
+    nodes = client.Client(queries.list_vms(env, vms))
+    domains = set(nodes.read('/v1/status')['evacuated_domains'])
+    domains = domains - {domain} if back else domains | {domain}
+    verdict = nodes.check_change(
+        {'classes': {}, 'evacuated_domains': sorted(domains)}
+    )
+    if not verdict['accepted']:
+        env.stderr.write(f'balsamshore: {verdict["fault"]}\n')
+        return status.ExitStatus.CHECK_FAILED
+    output.write_json(env, verdict['document'])
+    return status.ExitStatus.SUCCESS
+
+
 def replay_trace(env: environment.Environment, file: str) -> status.ExitStatus:
     """Replays a trace; fails the check when any action differs."""
     lines = _read_file(file).decode('utf-8', 'replace').splitlines()
--- a/packages/core/balsamshore_core/configuration.py
+++ b/packages/core/balsamshore_core/configuration.py
@@ -9,7 +9,11 @@
                                 "connections"}},
      "indexes": {NAME: {"snapshots": [
          {"id": 12, "shards": {NAME: {"records": 100,
-                                      "replicas": [NAME, ...]}}}]}}}
+                                      "replicas": [NAME, ...]}}}]}},
+     "evacuated_domains": [NAME, ...]}
+
+`evacuated_domains` may be left out. Releases that do not know it reject a
+document that has it, so all nodes are updated before it is first used.
 
 Validation is deterministic: every node accepts or rejects the same bytes,
 whatever its clock, its host or the order in which documents arrive.
@@ -80,6 +84,7 @@
         classes: Targets by class name.
         backend_servers: Servers by name.
         indexes: Snapshots by index name, newest first.
+        evacuated_domains: Failure domains whose servers get nothing new.
     """
 
     version: int
@@ -88,6 +93,14 @@
     classes: dict[str, ClassTarget]
     backend_servers: dict[str, BackendServer]
     indexes: dict[str, tuple[Snapshot, ...]]
+    evacuated_domains: tuple[str, ...] = ()
+
+    def is_evacuated(self, server: str) -> bool:
+        """Returns whether a server is in an evacuated failure domain."""
+        known = self.backend_servers.get(server)
+        return (
+            known is not None and known.failure_domain in self.evacuated_domains
+        )
 
 
 ParseResult = expression.Result[Configuration, errors.ConfigurationError]
@@ -126,7 +139,10 @@
             'document', f'not valid JSON ({error})'
         ) from error
     fields = _read_fields(
-        'document', root, ('version', 'classes', 'backend_servers', 'indexes')
+        'document',
+        root,
+        ('version', 'classes', 'backend_servers', 'indexes'),
+        ('evacuated_domains',),
     )
     version = _read_integer('version', fields['version'], 1, 2**53)
     servers = _read_map(
@@ -143,9 +159,25 @@
         classes,
         servers,
         indexes,
+        _read_domains(fields.get('evacuated_domains', []), servers),
     )
 
 
+def _read_domains(
+    value: Any, servers: dict[str, BackendServer]
+) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        raise errors.ConfigurationError('evacuated_domains', 'must be a list')
+    known = {server.failure_domain for server in servers.values()}
+    for position, name in enumerate(value):
+        path = f'evacuated_domains.{position}'
+        if _read_name(path, name) not in known:
+            raise errors.ConfigurationError(
+                path, f'no backend server is in failure domain {name}'
+            )
+    return tuple(value)
+
+
 def _reject_duplicate_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     fields = dict(pairs)
     if len(fields) != len(pairs):
@@ -277,14 +309,19 @@
             )
 
 
-def _read_fields(path: str, value: Any, names: tuple[str, ...]) -> dict:
+def _read_fields(
+    path: str,
+    value: Any,
+    names: tuple[str, ...],
+    optional: tuple[str, ...] = (),
+) -> dict:
     if not isinstance(value, dict):
         raise errors.ConfigurationError(path, 'must be a JSON object')
     for name in value:
-        if name not in names:
+        if name not in names and name not in optional:
             raise errors.ConfigurationError(
                 f'{path}.{name}',
-                f'unknown field; accepted: {", ".join(names)}',
+                f'unknown field; accepted: {", ".join((*names, *optional))}',
             )
     for name in names:
         if name not in value:
--- a/packages/core/balsamshore_core/replicas.py
+++ b/packages/core/balsamshore_core/replicas.py
@@ -68,7 +68,7 @@
     replica = board.replicas.replicas.get(name)
     if replica is None or replica.stalled or now < replica.draining_until:
         return False
-    if find_rate_wait(board, replica, now) > 0.0:
+    if _is_evacuated(board, name) or find_rate_wait(board, replica, now) > 0.0:
         return False
     return now >= replica.shed_until and not (
         now < replica.cold_until and replica.in_flight > 0
@@ -76,7 +76,7 @@
 
 
 def is_serving(board: blackboard.Blackboard, name: str, now: float) -> bool:
-    """Returns whether a server is neither stalled, draining nor lost.
+    """Returns whether a server is not stalled, draining, lost or evacuated.
 
     Unlike `is_usable`, it ignores the short backoffs of cold or shedding
     servers.
@@ -84,6 +84,8 @@
     replica = board.replicas.replicas.get(name)
     if replica is None or replica.stalled or now < replica.draining_until:
         return False
+    if _is_evacuated(board, name):
+        return False
     return replica.lost_at <= replica.last_reply_at or not replica.failures
 
 
@@ -123,6 +125,11 @@
     )
 
 
+def _is_evacuated(board: blackboard.Blackboard, name: str) -> bool:
+    current = board.configuration.current
+    return current is not None and current.is_evacuated(name)
+
+
 def _find_rate_share(board: blackboard.Blackboard) -> float:
     fleet_size = board.connections.fleet_peak
     return 1.0 / (fleet_size + RATE_RESERVE_NODES)
--- a/packages/core/balsamshore_core/targets.py
+++ b/packages/core/balsamshore_core/targets.py
@@ -6,6 +6,7 @@
 
 import json
 from typing import Any
+from typing import NamedTuple
 from typing import TypedDict
 
 import expression
@@ -61,7 +62,17 @@
     document: Any
 
 
-Changes = dict[str, dict[str, float]]
+class Changes(NamedTuple):
+    """Requested changes.
+
+    Attributes:
+        classes: New values by class and field.
+        evacuated_domains: All evacuated failure domains, or None to leave them
+            as they are. `configuration` checks them.
+    """
+
+    classes: dict[str, dict[str, float]]
+    evacuated_domains: Any
 
 
 def list_targets(board: blackboard.Blackboard) -> TargetList:
@@ -90,7 +101,7 @@
     Args:
         board: The blackboard, for the document and the measured latencies.
         body: JSON, `{"classes": {NAME: {FIELD: NUMBER}}}` with only the
-            fields to change.
+            fields to change, and optionally `"evacuated_domains": [NAME]`.
     """
     current = board.configuration.current
     if current is None:
@@ -100,8 +111,11 @@
         return _reject(str(changes.error))
     document = json.loads(current.document)
     document['version'] = current.version + 1
-    for name, fields in changes.ok.items():
+    classes, domains = changes.ok
+    for name, fields in classes.items():
         document['classes'][name].update(fields)
+    if domains is not None:
+        document['evacuated_domains'] = domains
     checked = configuration.parse_document(json.dumps(document).encode())
     if checked.is_error():
         return _reject(str(checked.error))
@@ -139,7 +153,11 @@
         fields = json.loads(body)
     except (ValueError, RecursionError):
         return _make_error('document', 'not valid JSON')
-    if not isinstance(fields, dict) or set(fields) != {'classes'}:
+    if (
+        not isinstance(fields, dict)
+        or 'classes' not in fields
+        or not set(fields) <= {'classes', 'evacuated_domains'}
+    ):
         return _make_error('document', "must be an object with only 'classes'")
     classes = fields['classes']
     if not isinstance(classes, dict):
@@ -159,7 +177,7 @@
                     f'classes.{name}.{field}',
                     f'is not a target; accepted: {accepted}',
                 )
-    return expression.Ok(classes)
+    return expression.Ok(Changes(classes, fields.get('evacuated_domains')))
 
 
 def _make_error(
--- a/packages/node/balsamshore_node/overview.py
+++ b/packages/node/balsamshore_node/overview.py
@@ -44,6 +44,7 @@
     version: int
     digest: str
     config_age_s: float
+    evacuated_domains: list[str]
     rejected: str
     classes: list[ClassView]
     members: list[MemberView]
@@ -67,6 +68,7 @@
         'version': current.version if current else 0,
         'digest': current.digest[:12] if current else '',
         'config_age_s': round(runtime.config_age_s(), 1),
+        'evacuated_domains': list(current.evacuated_domains if current else ()),
         'rejected': section.rejected_reason,
         'classes': classes,
         'members': _build_member_views(board),
