--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -124,7 +124,7 @@
         allowed_s = min(deadline_s, route.timeout_s)
         objective_s = min(route.objective_s - (used_s or 0.0), allowed_s)
         objective_s = max(0.0, objective_s)
-        margin_s = margins.find_margin(distance, objective_s)
+        margin_s = margins.find_margin(distance, objective_s, len(services))
         exchange = boards.Exchange(
             exchange_id,
             route,
--- a/tests/forwarding/test_margins.py
+++ b/tests/forwarding/test_margins.py
@@ -78,3 +78,14 @@
     assert received.answer.outcome != 'complete'
     assert received.took_s > 0.2
     assert at_caller_s < 0.4
+
+
+def test_wide_requests_leave_time_for_their_parts():
+    """Guards against answers that leave in time and arrive late.
+
+    Parts share the node's link and loop with requests and answers of callers.
+    """
+    one = margins.find_margin(margins.TYPICAL, 0.3, 1)
+    wide = margins.find_margin(margins.TYPICAL, 0.3, 36)
+    assert wide - one == pytest.approx(0.005, abs=0.001)
+    assert margins.find_margin(margins.TYPICAL, 0.02, 1_900) == 0.01
