Let the least bound of a service follow what its slots answer in time

Cause: with few slots and many nodes, 3 requests for each node were more than the servers answer within the objective.

Change: for requests that one server answers, the least bound is 0.6 of this node's share of what the slots answer in the time allowed.

--- a/packages/core/balsamshore_core/forwarding/admissions.py
+++ b/packages/core/balsamshore_core/forwarding/admissions.py
@@ -20,6 +20,7 @@
 import math
 
 from balsamshore_core.forwarding import board as boards
+from balsamshore_core.forwarding import delays
 from balsamshore_core.forwarding import returns
 from balsamshore_core.forwarding import routes
 
@@ -31,6 +32,7 @@
 # With less, nodes of few requests refuse while servers are free: at 40 nodes
 # with a bound of 1 each, fewer requests were in time than without bounds.
 MIN_BOUND = 3.0
+SAFE_SHARE = 0.6  # of what is answered in time; nodes do not see each other
 FORGOTTEN_LATE_SHARE = 0.01  # replies of such services are not counted
 FULL_SHARE = 0.8  # of the bound in use, for it to grow
 URGENT_LIFETIME_S = 2.0  # a class that nobody asks for has nothing reserved
@@ -68,8 +70,9 @@
 class Admissions:
     """Decides who is admitted and when the others may come back."""
 
-    def __init__(self, board: boards.Board):
+    def __init__(self, board: boards.Board, route_delays: delays.Delays):
         self._board = board
+        self._delays = route_delays
         self._bounds: dict[str, _Bound] = {}
         self._bounded: set[str] = set()  # services whose bound is in force
         self._asked_at: dict[str, float] = {}  # by route name
@@ -90,7 +93,7 @@
         if late:
             bound.pressed_at = now
         if bound.late_share > MAX_LATE_SHARE:
-            self._lower(part.service, bound, now)
+            self._lower(part.service, bound, part.exchange.route, now)
         elif part.service not in self._bounded:
             if bound.late_share < FORGOTTEN_LATE_SHARE:
                 del self._bounds[part.service]
@@ -112,7 +115,7 @@
         bound.late_share += LATE_WEIGHT * (1.0 - bound.late_share)
         bound.pressed_at = now
         if bound.late_share > MAX_LATE_SHARE:
-            self._lower(service, bound, now)
+            self._lower(service, bound, attempt.part.exchange.route, now)
 
     def list_parts_out(
         self, exchange: boards.Exchange, now: float
@@ -173,14 +176,16 @@
             for route in host_routes
         )
 
-    def _lower(self, service: str, bound: _Bound, now: float) -> None:
+    def _lower(
+        self, service: str, bound: _Bound, route: routes.Route, now: float
+    ) -> None:
         """Lowers a bound, at most once in the time of a reply."""
         if now - bound.changed_at < bound.latency_s:
             return
         bound.changed_at = now
         in_flight = self._count_in_flight(service) + 1
         bound.limit = max(
-            self._find_least(service, now),
+            self._find_least(service, route, now),
             DECREASE * min(bound.limit, in_flight),
         )
         if service not in self._bounded:
@@ -196,13 +201,24 @@
     def _note(self, service: str, detail: str) -> None:
         self._board.notes.append(boards.Note('bound', '', service, detail))
 
-    def _find_least(self, service: str, now: float) -> float:
-        """Returns this node's share of the slots of a service."""
+    def _find_least(
+        self, service: str, route: routes.Route, now: float
+    ) -> float:
+        """Returns the bound that a service keeps in any case.
+
+        It is this node's share of the slots, and for requests that one server
+        answers of what the slots can answer in the time allowed.
+        """
         slots = sum(
             server.entry.slots
             for server in self._board.list_usable(service, now)
         )
-        return max(MIN_BOUND, slots / (len(self._board.peers) + 1))
+        share = slots / (len(self._board.peers) + 1)
+        work_s = self._delays.find_work_s(route)
+        if route.shards or not work_s:
+            return max(MIN_BOUND, share)
+        in_time = max(1.0, _find_allowed(route) / work_s)
+        return max(1.0, SAFE_SHARE * share * in_time)
 
     def _count_in_flight(self, service: str) -> int:
         candidates = self._board.registry.by_service.get(service, {})
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -64,7 +64,7 @@
         self._rates = rates.Rates(board, self._wait_queues, self._timers)
         self._statements = statements.Statements(board, self._timers)
         self._observations = observations.Observations(board, self._delays)
-        self._admissions = admissions.Admissions(board)
+        self._admissions = admissions.Admissions(board, self._delays)
         self._refusals = refusals.Refusals(
             board,
             self._isolation,
