Mend what a review of evacuation, admission and capacity showed

The worst: a node behind a gap got a list of changes and hid the removals one node further on; servers that answered after the deadline set no bound; a request short of two shards for two reasons was sent; a part that waited found no server after an evacuation; a hedge found useless was never considered again; 30 idle nodes turned to a cold server at one moment.

Attempts given up after their time count as late. Missing and full shards count together. A round begins for parts that wait. Hedges are considered again once an attempt is stuck, and none goes to a service at its bound. The bucket of a cold server does not fill while unused; its limit ends without the store and holds from the first moment. Each more urgent class that is asked for has its quarter. Callers with little time are spread and do not move others. Old late replies are forgotten; a bound follows the share of the slots. Samples are clamped, a limit can grow again from one, published slots are followed. The margin for parts needs `overload_control`. A domain without servers may be evacuated.

Not done: refusals counted while a fleet has mixed settings of evacuate_ms.

--- a/packages/core/balsamshore_core/configuration.py
+++ b/packages/core/balsamshore_core/configuration.py
@@ -159,23 +159,18 @@
         classes,
         servers,
         indexes,
-        _read_domains(fields.get('evacuated_domains', []), servers),
+        _read_domains(fields.get('evacuated_domains', [])),
     )
 
 
-def _read_domains(
-    value: Any, servers: dict[str, BackendServer]
-) -> tuple[str, ...]:
+def _read_domains(value: Any) -> tuple[str, ...]:
+    """Reads failure domains; one may have lost its last server."""
     if not isinstance(value, list):
         raise errors.ConfigurationError('evacuated_domains', 'must be a list')
-    known = {server.failure_domain for server in servers.values()}
-    for position, name in enumerate(value):
-        path = f'evacuated_domains.{position}'
-        if _read_name(path, name) not in known:
-            raise errors.ConfigurationError(
-                path, f'no backend server is in failure domain {name}'
-            )
-    return tuple(value)
+    return tuple(
+        _read_name(f'evacuated_domains.{position}', name)
+        for position, name in enumerate(value)
+    )
 
 
 def _reject_duplicate_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
--- a/packages/core/balsamshore_core/forwarding/admissions.py
+++ b/packages/core/balsamshore_core/forwarding/admissions.py
@@ -20,7 +20,6 @@
 import math
 
 from balsamshore_core.forwarding import board as boards
-from balsamshore_core.forwarding import delays
 from balsamshore_core.forwarding import returns
 from balsamshore_core.forwarding import routes
 
@@ -32,7 +31,6 @@
 # With less, nodes of few requests refuse while servers are free: at 40 nodes
 # with a bound of 1 each, fewer requests were in time than without bounds.
 MIN_BOUND = 3.0
-SAFE_SHARE = 0.6  # of what is answered in time; nodes do not see each other
 FORGOTTEN_LATE_SHARE = 0.01  # replies of such services are not counted
 FULL_SHARE = 0.8  # of the bound in use, for it to grow
 URGENT_LIFETIME_S = 2.0  # a class that nobody asks for has nothing reserved
@@ -70,9 +68,8 @@
 class Admissions:
     """Decides who is admitted and when the others may come back."""
 
-    def __init__(self, board: boards.Board, route_delays: delays.Delays):
+    def __init__(self, board: boards.Board):
         self._board = board
-        self._delays = route_delays
         self._bounds: dict[str, _Bound] = {}
         self._bounded: set[str] = set()  # services whose bound is in force
         self._asked_at: dict[str, float] = {}  # by route name
@@ -88,12 +85,9 @@
         if not late and part.service not in self._bounds:
             return
         bound = self._get_bound(part.service)
-        bound.late_share += LATE_WEIGHT * (late - bound.late_share)
-        bound.latency_s += LATE_WEIGHT * (took_s - bound.latency_s)
-        if late:
-            bound.pressed_at = now
+        self._add(bound, late, took_s, now)
         if bound.late_share > MAX_LATE_SHARE:
-            self._lower(part.service, bound, part.exchange.route, now)
+            self._lower(part.service, bound, now)
         elif part.service not in self._bounded:
             if bound.late_share < FORGOTTEN_LATE_SHARE:
                 del self._bounds[part.service]
@@ -111,11 +105,33 @@
         if not self._board.overload_control:
             return
         service = attempt.part.service
+        route = attempt.part.exchange.route
         bound = self._get_bound(service)
-        bound.late_share += LATE_WEIGHT * (1.0 - bound.late_share)
-        bound.pressed_at = now
+        self._add(bound, True, bound.latency_s or route.objective_s, now)
         if bound.late_share > MAX_LATE_SHARE:
-            self._lower(service, bound, attempt.part.exchange.route, now)
+            self._lower(service, bound, now)
+
+    def record_unanswered(self, attempt: boards.Attempt, now: float) -> None:
+        """Learns from an attempt that is given up after its time."""
+        if now - attempt.sent_at > _find_allowed(attempt.part.exchange.route):
+            self.record_reply(attempt, now)
+
+    def is_full(self, part: boards.Part, now: float) -> bool:
+        """Returns whether a part's service has no capacity for its class."""
+        return part.service in self._bounded and self._is_full(
+            part.service, part.exchange.route, now
+        )
+
+    def _add(
+        self, bound: _Bound, late: bool, took_s: float, now: float
+    ) -> None:
+        if now - bound.pressed_at > CALM_S:
+            bound.late_share = 0.0
+        bound.late_share += LATE_WEIGHT * (late - bound.late_share)
+        weight = LATE_WEIGHT if bound.latency_s else 1.0
+        bound.latency_s += weight * (took_s - bound.latency_s)
+        if late:
+            bound.pressed_at = now
 
     def list_parts_out(
         self, exchange: boards.Exchange, now: float
@@ -130,7 +146,7 @@
             part
             for part in exchange.parts
             if part.service in self._bounded
-            and self._is_full(part.service, exchange.route.priority, now)
+            and self._is_full(part.service, exchange.route, now)
         ]
 
     def find_return(
@@ -152,40 +168,43 @@
         """Returns the bounds in force, by service."""
         return {name: self._bounds[name].limit for name in self._bounded}
 
-    def _is_full(self, service: str, priority: int, now: float) -> bool:
+    def _is_full(self, service: str, route: routes.Route, now: float) -> bool:
         bound = self._bounds[service]
         if now - bound.pressed_at > CALM_S:
             self._lift(service)
             return False
-        limit = bound.limit
-        if self._is_more_urgent_asked(service, priority, now):
-            limit *= LESS_URGENT_SHARE
+        # The share may have grown since, as when another node ended.
+        limit = max(bound.limit, self._find_least(service, now))
+        limit *= LESS_URGENT_SHARE ** self._count_more_urgent(
+            service, route.priority, now
+        )
         return self._count_in_flight(service) >= limit
 
-    def _is_more_urgent_asked(
+    def _count_more_urgent(
         self, service: str, priority: int, now: float
-    ) -> bool:
+    ) -> int:
+        """Counts the more urgent priorities that were asked for lately."""
         table = self._board.table
         routes_in_force = table.by_host.values() if table is not None else ()
-        return any(
-            route.priority < priority
+        urgent = {
+            route.priority
+            for host_routes in routes_in_force
+            for route in host_routes
+            if route.priority < priority
             and now - self._asked_at.get(route.name, -math.inf)
             < URGENT_LIFETIME_S
             and route.uses(service)
-            for host_routes in routes_in_force
-            for route in host_routes
-        )
+        }
+        return len(urgent)
 
-    def _lower(
-        self, service: str, bound: _Bound, route: routes.Route, now: float
-    ) -> None:
+    def _lower(self, service: str, bound: _Bound, now: float) -> None:
         """Lowers a bound, at most once in the time of a reply."""
         if now - bound.changed_at < bound.latency_s:
             return
         bound.changed_at = now
         in_flight = self._count_in_flight(service) + 1
         bound.limit = max(
-            self._find_least(service, route, now),
+            self._find_least(service, now),
             DECREASE * min(bound.limit, in_flight),
         )
         if service not in self._bounded:
@@ -201,24 +220,14 @@
     def _note(self, service: str, detail: str) -> None:
         self._board.notes.append(boards.Note('bound', '', service, detail))
 
-    def _find_least(
-        self, service: str, route: routes.Route, now: float
-    ) -> float:
-        """Returns the bound that a service keeps in any case.
-
-        It is this node's share of the slots, and for requests that one server
-        answers of what the slots can answer in the time allowed.
-        """
+    def _find_least(self, service: str, now: float) -> float:
+        """Returns this node's share of the slots of a service."""
         slots = sum(
             server.entry.slots
             for server in self._board.list_usable(service, now)
         )
         share = slots / (len(self._board.peers) + 1)
-        work_s = self._delays.find_work_s(route)
-        if route.shards or not work_s:
-            return max(MIN_BOUND, share)
-        in_time = max(1.0, _find_allowed(route) / work_s)
-        return max(1.0, SAFE_SHARE * share * in_time)
+        return max(MIN_BOUND, share)
 
     def _count_in_flight(self, service: str) -> int:
         candidates = self._board.registry.by_service.get(service, {})
--- a/packages/core/balsamshore_core/forwarding/capacities.py
+++ b/packages/core/balsamshore_core/forwarding/capacities.py
@@ -14,6 +14,7 @@
 FLAT = 1.2  # below this ratio, one more request at once does no harm
 MIN_SAMPLES = 8  # on each side, before the two are compared
 WEIGHT = 0.2  # of a new latency
+MAX_LATENCY = 3.0  # times the usual one; a pause must not outweigh the others
 CHANGE_INTERVAL_S = 0.5  # between two changes of a limit
 MAX_GROWTH = 2.0  # of the limit over the published slots
 
@@ -78,8 +79,9 @@
             in_flight: Requests at the server when it was sent, this included.
             now: Monotonic seconds.
         """
-        side = self._few if in_flight <= self.limit / 2 else self._many
-        side.add(latency)
+        is_few = in_flight <= max(1.0, self.limit / 2)
+        side = self._few if is_few else self._many
+        side.add(min(latency, MAX_LATENCY))
         if (
             min(self._few.count, self._many.count) < MIN_SAMPLES
             or now - self._changed_at < CHANGE_INTERVAL_S
@@ -98,8 +100,11 @@
             in_flight: Other requests there that this node knows of.
             now: Monotonic seconds.
         """
-        if in_flight < self.limit:
-            self._change(float(in_flight), now)
+        if (
+            in_flight < self.limit
+            and now - self._changed_at >= CHANGE_INTERVAL_S
+        ):
+            self._change(max(float(in_flight), self.limit - 1.0), now)
 
     def _change(self, limit: float, now: float) -> None:
         self.limit = min(max(1.0, limit), MAX_GROWTH * self._slots)
--- a/packages/core/balsamshore_core/forwarding/catalog.py
+++ b/packages/core/balsamshore_core/forwarding/catalog.py
@@ -30,7 +30,6 @@
 # written again, possibly older states of it first.
 RETENTION_S = 2.2
 TOMBSTONE_S = 30.0  # how long removals are kept for peers
-MAX_GAPS = 4  # in the known history; older ones are merged
 
 
 def make_revision(era: int, number: int) -> int:
@@ -66,20 +65,6 @@
     retained: bool = False
 
 
-class Gap(NamedTuple):
-    """Revisions between two states that a snapshot skipped.
-
-    Keys that were both written and removed within it are not known here.
-
-    Attributes:
-        after: Revision of the catalog before the snapshot.
-        until: Revision of the snapshot.
-    """
-
-    after: int
-    until: int
-
-
 class Decoder(Protocol):
     """Decodes the values of the store."""
 
@@ -131,8 +116,8 @@
         self._undecodable: set[str] = set()  # keys whose value is not used
         # Until when the store may show older states of a key than are known.
         self._old_states_until: dict[str, float] = {}
+        # Removals up to here may be unknown.
         self._purged_revision = 0
-        self._gaps: list[Gap] = []
         self.revision = 0
 
     def apply(
@@ -163,13 +148,7 @@
                 self._apply_item(item, changes, now)
             except Exception as error:
                 self._handle_error(error, item.key)
-        if self._board.registry.cold:
-            warmups.update_limits(
-                self._board.registry.cold,
-                self._board.table,
-                self._board.limit_phase,
-                now,
-            )
+        self._update_warmups(now)
         return changes
 
     def replace(
@@ -197,24 +176,23 @@
             and item.revision < as_of
         ]
         if as_of > self.revision:
-            self._record_gap(Gap(self.revision, as_of))
+            # Keys that were written and removed in between are not known here.
+            self._purged_revision = as_of
         return self.apply([*items, *removed], 0, as_of, now)
 
     def list_since(self, revision: int) -> tuple[bool, list[Item]]:
         """Lists the items that changed after a revision.
 
-        A node at a revision within a gap may know servers of whose removal
-        this node never learned, so it gets a snapshot.
+        A node at a revision before the last snapshot of this node may know
+        servers of whose removal this node never learned. It gets a snapshot.
+        So does one that could not know them: it would take the list for
+        complete, and hide their removal from others.
 
         Returns:
             Whether the list is a snapshot of the whole catalog, so that items
             missing from it were removed, and the items.
         """
-        is_snapshot = (
-            revision == 0
-            or revision < self._purged_revision
-            or any(gap.after < revision < gap.until for gap in self._gaps)
-        )
+        is_snapshot = not self.is_complete_since(revision)
         items = [
             item
             for item in self._items.values()
@@ -223,14 +201,8 @@
         return is_snapshot, items
 
     def is_complete_since(self, revision: int) -> bool:
-        """Returns whether the changes after a revision suit all later ones.
-
-        A datagram with changes is applied by nodes at any revision after its
-        first one, also by those within a gap.
-        """
-        return revision >= self._purged_revision and all(
-            gap.until <= revision for gap in self._gaps
-        )
+        """Returns whether all removals after a revision are known here."""
+        return revision > 0 and revision >= self._purged_revision
 
     def expire(self, now: float) -> list[str]:
         """Unregisters retained entries that are due; purges old tombstones."""
@@ -251,18 +223,22 @@
                 self._purged_revision = max(
                     self._purged_revision, item.revision
                 )
+        if self._board.registry.cold:
+            self._update_warmups(now)
         return changes
 
+    def _update_warmups(self, now: float) -> None:
+        warmups.update_limits(
+            self._board.registry,
+            self._board.table,
+            self._board.limit_phase,
+            now,
+        )
+
     def count_items(self) -> int:
         """Returns the number of items, including tombstones."""
         return len(self._items)
 
-    def _record_gap(self, gap: Gap) -> None:
-        self._gaps.append(gap)
-        if len(self._gaps) > MAX_GAPS:
-            first, second, *rest = self._gaps
-            self._gaps = [Gap(first.after, second.until), *rest]
-
     def _apply_item(self, item: Item, changes: list[str], now: float) -> None:
         """Applies one item if it is relevant and newer than the known one."""
         current = self._items.get(item.key)
--- a/packages/core/balsamshore_core/forwarding/exchanges.py
+++ b/packages/core/balsamshore_core/forwarding/exchanges.py
@@ -64,7 +64,7 @@
         self._rates = rates.Rates(board, self._wait_queues, self._timers)
         self._statements = statements.Statements(board, self._timers)
         self._observations = observations.Observations(board, self._delays)
-        self._admissions = admissions.Admissions(board, self._delays)
+        self._admissions = admissions.Admissions(board)
         self._refusals = refusals.Refusals(
             board,
             self._isolation,
@@ -93,6 +93,7 @@
             self._sends,
             self._endings,
             self._links,
+            self._admissions,
         )
 
     def start(
@@ -124,7 +125,11 @@
         allowed_s = min(deadline_s, route.timeout_s)
         objective_s = min(route.objective_s - (used_s or 0.0), allowed_s)
         objective_s = max(0.0, objective_s)
-        margin_s = margins.find_margin(distance, objective_s, len(services))
+        margin_s = margins.find_margin(
+            distance,
+            objective_s,
+            len(services) if self._board.overload_control else 1,
+        )
         exchange = boards.Exchange(
             exchange_id,
             route,
@@ -176,7 +181,8 @@
             self._board.counters['misdirected'] += 1
         elif reply.refused:
             server.record_refusal(now)
-            self._admissions.record_refusal(attempt, now)
+            if not (reply.draining or reply.wait_s or reply.rate_limit):
+                self._admissions.record_refusal(attempt, now)
             if self._board.learned_capacity:
                 server.capacity.record_refusal(server.in_flight, now)
             self._board.counters['refused_by_server'] += 1
@@ -361,6 +367,7 @@
         for part in exchange.parts:
             for attempt in tuple(part.live):
                 attempt.abandoned = True
+                self._admissions.record_unanswered(attempt, now)
                 if exchange.route.idempotent:
                     self._isolation.record_unanswered(attempt, now)
                     self._endings.close(attempt, now, output)
@@ -617,6 +624,7 @@
                 attempt, now, now - attempt.sent_at > MAX_SERVER_PAUSE_S
             )
         self._isolation.record_unanswered(attempt, now)
+        self._admissions.record_unanswered(attempt, now)
         self._endings.close(attempt, now, output)
         self._sends.continue_waiting(attempt.part, now, output)
 
--- a/packages/core/balsamshore_core/forwarding/rates.py
+++ b/packages/core/balsamshore_core/forwarding/rates.py
@@ -77,7 +77,7 @@
         self, exchange: boards.Exchange, now: float
     ) -> list[boards.Part]:
         """Lists the parts that no server may get before the answer is due."""
-        limited = self._limited | self._list_warming()
+        limited = self._limited | self._board.registry.warming
         if not limited:
             return []
         return [
@@ -127,14 +127,6 @@
             )
         return min(waits, default=None)
 
-    def _list_warming(self) -> set[str]:
-        """Lists the services with servers that are limited while cold."""
-        return {
-            server.entry.service
-            for server in self._board.registry.cold.values()
-            if server.warmup is not None
-        }
-
     def _find_expected_wait(self, part: boards.Part, now: float) -> float:
         """Returns how long rate limits will make a part wait.
 
--- a/packages/core/balsamshore_core/forwarding/refusals.py
+++ b/packages/core/balsamshore_core/forwarding/refusals.py
@@ -67,32 +67,29 @@
             return 'quarantined'
         if self._board.reachability.is_cut_off:
             return 'cut_off'
-        reachable = sum(
-            bool(self._board.list_usable(part.service, now))
+        absent = [
+            part
             for part in exchange.parts
-        )
-        if not reachable or (
-            reachable
-            < exchange.route.coverage_floor * len(exchange.parts) - 1e-9
-        ):
-            return self._find_absence(exchange, now)
+            if not self._board.list_usable(part.service, now)
+        ]
+        if absent and answers.is_floor_missed(exchange, len(absent)):
+            return self._find_absence(absent)
         if exchange.deadline_at <= exchange.arrived_at:
             return 'no_time'
-        if parts_out and answers.is_floor_missed(exchange, len(parts_out)):
-            part, reason = parts_out[-1]
-            if reason == answers.OVERLOADED:
-                exchange.unavailable_until = self._admissions.find_return(
-                    exchange, part.service, now
-                )
-                return reason
+        out = {id(part) for part, _ in parts_out}
+        missing = len(parts_out) + sum(id(part) not in out for part in absent)
+        if not parts_out or not answers.is_floor_missed(exchange, missing):
+            return ''
+        part, reason = parts_out[-1]
+        if reason != answers.OVERLOADED:
             return parts_out[0][1]
-        return ''
+        exchange.unavailable_until = max(
+            exchange.unavailable_until,
+            self._admissions.find_return(exchange, part.service, now),
+        )
+        return reason
 
-    def _find_absence(self, exchange: boards.Exchange, now: float) -> str:
+    def _find_absence(self, absent: list[boards.Part]) -> str:
         """Returns why parts of a request have no usable server."""
-        reasons = {
-            self._board.find_absence(part.service)
-            for part in exchange.parts
-            if not self._board.list_usable(part.service, now)
-        }
+        reasons = {self._board.find_absence(part.service) for part in absent}
         return 'evacuated' if 'evacuated' in reasons else 'no_replicas'
--- a/packages/core/balsamshore_core/forwarding/repeats.py
+++ b/packages/core/balsamshore_core/forwarding/repeats.py
@@ -6,6 +6,7 @@
 repeated alone.
 """
 
+from balsamshore_core.forwarding import admissions
 from balsamshore_core.forwarding import board as boards
 from balsamshore_core.forwarding import delays
 from balsamshore_core.forwarding import endings
@@ -33,6 +34,7 @@
         part_sends: sends.Sends,
         request_endings: endings.Endings,
         server_links: links.Links,
+        request_admissions: admissions.Admissions,
     ):
         self._board = board
         self._state = board.exchanges
@@ -42,6 +44,7 @@
         self._sends = part_sends
         self._endings = request_endings
         self._links = server_links
+        self._admissions = request_admissions
 
     def retry_part(
         self,
@@ -103,6 +106,12 @@
             attempt, now
         ):
             self._board.counters['hedge_useless'] += 1
+            stuck_at = self._sends.find_stuck_time(attempt, now)
+            if stuck_at > now:
+                self._timers.start(stuck_at, 'hedge', attempt_id)
+            return
+        if self._admissions.is_full(part, now):
+            self._board.counters['hedge_bounded'] += 1
             return
         budget = self._board.get_retry_budget(part.service)
         if not budget.allows_hedge(
--- a/packages/core/balsamshore_core/forwarding/returns.py
+++ b/packages/core/balsamshore_core/forwarding/returns.py
@@ -47,11 +47,18 @@
             [at for other, at in given.items() if other <= priority],
             default=now,
         )
-        at = max(now + drain_s, next_at)
-        interval_s = max(1.0 / (RETURN_SHARE * rate), MIN_INTERVAL_S)
-        given[priority] = min(at + interval_s, latest_at)
+        earliest_at = now + max(drain_s, MIN_DELAY_S)
+        at = max(earliest_at, next_at)
+        if at > latest_at:
+            # It cannot wait for its turn. Spread such callers over their time.
+            share = self._rng.random()
+            return max(
+                now + MIN_DELAY_S,
+                earliest_at + share * (latest_at - earliest_at),
+            )
+        given[priority] = at + max(1.0 / (RETURN_SHARE * rate), MIN_INTERVAL_S)
         at += JITTER * (at - now) * self._rng.random()
-        return max(now + MIN_DELAY_S, min(at, latest_at))
+        return min(at, latest_at)
 
     def discard_unused(self, services: collections.abc.Container[str]) -> None:
         """Forgets services that have no server any more."""
--- a/packages/core/balsamshore_core/forwarding/sends.py
+++ b/packages/core/balsamshore_core/forwarding/sends.py
@@ -93,11 +93,8 @@
             if not part.live and self._statements.is_out(part, now):
                 self._endings.fail_part(part, 'servers_closed', now, output)
                 return False
-            if all(each.entry.server_id in part.tried for each in candidates):
-                waitqueues.begin_round(part, now)
-                self._timers.start(
-                    part.not_before, 'round', part.exchange.exchange_id
-                )
+            if self._has_tried_all(part, now):
+                self._begin_round(part, now)
             self._wait_queues.add(part)
             self._rates.wait(part, now)
             self._statements.wait(part, now)
@@ -126,6 +123,8 @@
             server = self._choose_server(part, now)
             if server is None and self._fail_evacuated(part, now, output):
                 return True
+            if server is None and self._has_tried_all(part, now):
+                self._begin_round(part, now)
             if server is None:
                 self._rates.wait(part, now)
                 self._statements.wait(part, now)
@@ -135,6 +134,16 @@
 
         self._wait_queues.send_waiting(service, now, send)
 
+    def _has_tried_all(self, part: boards.Part, now: float) -> bool:
+        candidates = self._board.list_usable(part.service, now)
+        return bool(candidates) and all(
+            each.entry.server_id in part.tried for each in candidates
+        )
+
+    def _begin_round(self, part: boards.Part, now: float) -> None:
+        waitqueues.begin_round(part, now)
+        self._timers.start(part.not_before, 'round', part.exchange.exchange_id)
+
     def _fail_evacuated(
         self, part: boards.Part, now: float, output: boards.Actions
     ) -> bool:
@@ -232,11 +241,17 @@
         expected_s = server.expect_s(work_s, now)
         usual_s = work_s * attempt.server.current_slowness(now)
         elapsed_s = now - attempt.sent_at
-        if elapsed_s > STUCK_FACTOR * usual_s:
+        if now >= self.find_stuck_time(attempt, now):
             return True
         left_s = exchange.answer_at - now
         return expected_s <= left_s or expected_s < usual_s - elapsed_s
 
+    def find_stuck_time(self, attempt: boards.Attempt, now: float) -> float:
+        """Returns from when an attempt is hedged whatever other servers do."""
+        work_s = self._delays.find_work_s(attempt.part.exchange.route)
+        usual_s = work_s * attempt.server.current_slowness(now)
+        return attempt.sent_at + STUCK_FACTOR * usual_s
+
     def _send_attempt(
         self,
         part: boards.Part,
--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -252,6 +252,8 @@
             kept: Requests that are kept for more urgent classes.
         """
         tokens = math.inf
+        if self.warmup is not None and self.warmup.is_over(now):
+            self.warmup = None
         if self.warmup is not None:
             tokens = self.warmup.count_tokens(share, now, kept)
         if self.limit is None:
@@ -345,6 +347,10 @@
     Attributes:
         by_service: Servers by service and id.
         cold: Servers that are cold, or were; see `warmups`.
+        warming: Services with servers that have a limit while cold.
+        cold_rates: Requests a second that a cold server tolerates from all
+            nodes, by service.
+        cold_tokens: What the bucket of a new limit holds at first.
     """
 
     def __init__(self):
@@ -357,6 +363,9 @@
             tuple[str, int], Statements
         ] = collections.OrderedDict()
         self.cold: dict[str, Server] = {}
+        self.warming: set[str] = set()
+        self.cold_rates: dict[str, float] = {}
+        self.cold_tokens = 0.0
 
     def find(self, server_id: str) -> Server | None:
         """Returns a usable server, or None."""
@@ -421,6 +430,8 @@
                 and server.entry.address == entry.address
             )
             if same and not entry.draining:
+                if entry.slots != server.entry.slots:
+                    server.capacity = capacities.Capacity(entry.slots)
                 server.entry = entry
                 self._note_cold(server, now)
                 return
@@ -436,10 +447,29 @@
 
     def _note_cold(self, server: Server, now: float) -> None:
         if server.entry.cold_s > 0:
+            if server.cold_until < now and server.slowness < COLD_SLOWNESS:
+                server.slowness = COLD_SLOWNESS
+                server.sampled_at = now
             server.cold_until = max(
                 server.cold_until, now + server.entry.cold_s
             )
             self.cold[server.entry.server_id] = server
+            self.limit_cold(server, now)
+
+    def limit_cold(self, server: Server, now: float) -> None:
+        """Sets the limit of a server that is cold, if its service has one."""
+        rate = self.cold_rates.get(server.entry.service, 0.0)
+        if not rate:
+            server.warmup = None
+            return
+        self.warming.add(server.entry.service)
+        rate = max(rate, ratelimits.MIN_RATE)
+        limit = server.warmup
+        if limit is None or limit.rate != rate:
+            limit = server.warmup = ratelimits.WarmupLimit(
+                rate, now, now, self.cold_tokens
+            )
+        limit.ended_at = server.cold_until
 
     def remove(self, server_id: str) -> None:
         """Removes a server; its running attempts continue."""
--- a/packages/core/balsamshore_core/forwarding/warmups.py
+++ b/packages/core/balsamshore_core/forwarding/warmups.py
@@ -16,7 +16,7 @@
 
 
 def update_limits(
-    cold: dict[str, servers.Server],
+    registry: servers.Registry,
     table: routes.RouteTable | None,
     tokens: float,
     now: float,
@@ -24,27 +24,25 @@
     """Sets the limits of cold servers; forgets those that are warm.
 
     Args:
-        cold: Servers that are or were cold, by id; warm ones are removed.
+        registry: The servers.
         table: The configuration in force.
         tokens: What the bucket of a new limit holds at first.
         now: Monotonic seconds.
     """
-    services = table.services if table is not None else {}
-    for server_id, server in tuple(cold.items()):
+    services = table.services.values() if table is not None else ()
+    registry.cold_rates = {
+        service.name: service.cold_rate
+        for service in services
+        if service.cold_rate
+    }
+    registry.cold_tokens = tokens
+    registry.warming.clear()
+    for server_id, server in tuple(registry.cold.items()):
         if now > server.cold_until + ratelimits.RECOVERY_S:
             server.warmup = None
-            del cold[server_id]
+            del registry.cold[server_id]
             continue
-        service = services.get(server.entry.service)
-        if service is None or not service.cold_rate:
-            server.warmup = None
-            continue
-        limit = server.warmup
-        if limit is None or limit.rate != service.cold_rate:
-            limit = server.warmup = ratelimits.RateLimit(
-                service.cold_rate, now, now, tokens
-            )
-        limit.ended_at = server.cold_until
+        registry.limit_cold(server, now)
 
 
 def list_limits(
--- a/packages/core/balsamshore_core/ratelimits.py
+++ b/packages/core/balsamshore_core/ratelimits.py
@@ -31,6 +31,7 @@
 MAX_BURST = 2.0  # tokens of one node
 RECOVERY_S = 4.0  # until a server whose limit ended is used without one
 RECOVERY_DOUBLING_S = 1.0
+WARMUP_UNUSED_S = 0.25  # without a look at the bucket of a cold server
 
 
 def parse_rate(text: bytes) -> float:
@@ -161,3 +162,30 @@
     def _set(self, rate: float) -> None:
         if not math.isnan(rate):
             self.rate = min(max(rate, MIN_RATE), MAX_RATE)
+
+
+class WarmupLimit(RateLimit):
+    """The limit of a cold server, whose bucket does not fill while unused.
+
+    After an evacuation all nodes may turn to a server at one moment. With the
+    tokens that they held at first, they come one after the other.
+    """
+
+    __slots__ = ('_first_tokens', '_used_at')
+
+    def __init__(
+        self, rate: float, heard_at: float, now: float, tokens: float = 0.0
+    ):
+        super().__init__(rate, heard_at, now, tokens)
+        self._first_tokens = tokens
+        self._used_at = now
+
+    def count_tokens(
+        self, share: float, now: float, kept: float = 0.0
+    ) -> float:
+        """Returns the requests that this node may send now; see `RateLimit`."""
+        if now - self._used_at > WARMUP_UNUSED_S:
+            self._tokens = min(self._tokens, self._first_tokens)
+            self._filled_at = now
+        self._used_at = now
+        return super().count_tokens(share, now, kept)
--- a/packages/node/balsamshore_node/forwarding/updates.py
+++ b/packages/node/balsamshore_node/forwarding/updates.py
@@ -94,10 +94,9 @@
         """Sends changes, or only the revision, to other nodes.
 
         Only the revision is sent if the changes are too large, if this node had
-        no revision before them, or if a snapshot brought them: nodes that know
-        more than it did before would take the list for complete. Without
-        changes, the message states that the revision was checked to be the
-        store's newest.
+        no revision before them, or if a snapshot brought them: the list may
+        lack removals. Without changes, the message states that the revision
+        was checked to be the store's newest.
 
         Args:
             old_revision: Revision before the changes.
@@ -107,10 +106,8 @@
         if self._catalog.revision > old_revision:
             _, items = self._catalog.list_since(old_revision)
         size = sum(len(item.value or b'') for item in items)
-        if (
-            size > gossip.MAX_ITEMS_BYTES
-            or old_revision == 0
-            or not self._catalog.is_complete_since(old_revision)
+        if size > gossip.MAX_ITEMS_BYTES or not self._catalog.is_complete_since(
+            old_revision
         ):
             items = []
         self._update_record()
