Show text of documents in tables as it is

Cause: rich reads brackets in the title and cells of a table as markup. A value like `[/a]` ended the command with a MarkupError.

Change: the title and all cells are escaped.

--- a/packages/cli/balsamshore_cli/output.py
+++ b/packages/cli/balsamshore_cli/output.py
@@ -6,6 +6,7 @@
 
 import rich.box
 import rich.console
+import rich.markup
 import rich.table
 
 from balsamshore_node import environment
@@ -41,7 +42,9 @@
     rows: Sequence[Sequence[Any]],
 ) -> None:
     """Writes a table, also when piped."""
-    table = rich.table.Table(title=title, box=rich.box.SIMPLE)
+    table = rich.table.Table(
+        title=rich.markup.escape(title), box=rich.box.SIMPLE
+    )
     for column in columns:
         table.add_column(column)
     for row in rows:
@@ -53,4 +56,4 @@
 def _format_cell(cell: Any) -> str:
     if isinstance(cell, float):
         return f'{cell:.4g}'
-    return str(cell)
+    return rich.markup.escape(str(cell))
