Add the command check-configuration

Cause: `targets check` finds only what a node rejects, and the operators' document had no check. Entries without effect and limits that contradict each other are accepted silently.

A node is asked by the check of an empty change, which it answers with the whole document.

No test reads from a running node over a network: the answer is that of a node in virtual time.

--- a/packages/cli/balsamshore_cli/definitions.py
+++ b/packages/cli/balsamshore_cli/definitions.py
@@ -9,6 +9,7 @@
 
 import fire
 
+from balsamshore_cli import checks
 from balsamshore_cli import errors
 from balsamshore_cli import explanations
 from balsamshore_cli import operators
@@ -111,6 +112,26 @@
         """Shows the health of each class and the current problems."""
         return operators.show_status(self._env, vms)
 
+    @fire.decorators.SetParseFn(str)
+    def check_configuration(
+        self,
+        file: str,
+        against: str = '',
+        vms: str = '',
+        decoder: str = '',
+        nodes: str = '0',
+    ) -> statuses.ExitStatus:
+        """Finds errors, entries without effect and limits that conflict.
+
+        Compares FILE with the file --against or, without it, with what the
+        entry VMs have in force. --decoder=platform reads the operators'
+        document of the forwarding side. Nothing is sent to other nodes or
+        changed.
+        """
+        return checks.check_configuration(
+            self._env, checks.CheckOptions(file, against, vms, decoder, nodes)
+        )
+
     @fire.decorators.SetParseFn(str)
     def replay(self, file: str) -> statuses.ExitStatus:
         """Replays a captured event trace and compares the actions."""
--- a/packages/cli/balsamshore_cli/operators.py
+++ b/packages/cli/balsamshore_cli/operators.py
@@ -64,7 +64,7 @@
     env: environment.Environment, file: str
 ) -> status.ExitStatus:
     """Validates a configuration document in the same way as a node."""
-    checked = configuration.parse_document(_read_file(file))
+    checked = configuration.parse_document(read_file(file))
     if checked.is_error():
         env.stderr.write(
             f'{file}: a node would reject this document: {checked.error}\n'
@@ -89,7 +89,7 @@
     env: environment.Environment, file: str, vms: str
 ) -> status.ExitStatus:
     """Compares the targets in a document with those in force."""
-    checked = configuration.parse_document(_read_file(file))
+    checked = configuration.parse_document(read_file(file))
     if checked.is_error():
         raise errors.CommandError(f'{file}: {checked.error}; correct it first')
     current = client.Client(queries.list_vms(env, vms)).read('/v1/targets')
@@ -132,7 +132,7 @@
 
 def replay_trace(env: environment.Environment, file: str) -> status.ExitStatus:
     """Replays a trace; fails the check when any action differs."""
-    lines = _read_file(file).decode('utf-8', 'replace').splitlines()
+    lines = read_file(file).decode('utf-8', 'replace').splitlines()
     steps = differing = 0
     first = 0
     try:
@@ -154,7 +154,12 @@
     return status.ExitStatus.SUCCESS
 
 
-def _read_file(file: str) -> bytes:
+def read_file(file: str) -> bytes:
+    """Reads a file that the user named.
+
+    Raises:
+        CommandError: It cannot be read.
+    """
     try:
         return pathlib.Path(file).read_bytes()
     except OSError as error:
