--- a/packages/core/balsamshore_core/forwarding/publications.py
+++ b/packages/core/balsamshore_core/forwarding/publications.py
@@ -4,8 +4,11 @@
 decode. A check needs all of them together, and every fault.
 """
 
+import collections.abc
+from typing import Any
 from typing import NamedTuple
 
+from balsamshore_core.forwarding import evacuations
 from balsamshore_core.forwarding import routes
 from balsamshore_core.forwarding import servers
 
@@ -49,3 +52,30 @@
 
     publication: Publication | None
     faults: tuple[Fault, ...]
+
+
+def collect(
+    values: collections.abc.Sequence[Any],
+    services: tuple[routes.Service, ...],
+    is_listing: bool,
+) -> Publication:
+    """Builds a publication from decoded values, a route table among them.
+
+    Args:
+        values: Route tables, server entries and evacuations.
+        services: Services in the order of the document.
+        is_listing: Whether all values of the store are given.
+    """
+    entries = tuple(
+        value for value in values if isinstance(value, servers.ServerEntry)
+    )
+    return Publication(
+        next(value for value in values if isinstance(value, routes.RouteTable)),
+        services,
+        entries if is_listing else None,
+        tuple(
+            value.failure_domain
+            for value in values
+            if isinstance(value, evacuations.Evacuation)
+        ),
+    )
