Bound what the least bounds of many nodes add up to

Change: the least bounds of all nodes together are four requests per slot, for requests that one server answers.

--- a/packages/core/balsamshore_core/forwarding/admissions.py
+++ b/packages/core/balsamshore_core/forwarding/admissions.py
@@ -28,9 +28,9 @@
 LATE_WEIGHT = 0.125  # of a reply in the share of late ones
 MAX_LATE_SHARE = 0.5  # pauses, or one server of three, make fewer replies late
 DECREASE = 0.8
-# With less, nodes of few requests refuse while servers are free: at 40 nodes
-# with a bound of 1 each, fewer requests were in time than without bounds.
+# With less, nodes of few requests refuse while servers are free.
 MIN_BOUND = 3.0
+MAX_PER_SLOT = 4.0  # requests at a server, of all nodes with the least bound
 FORGOTTEN_LATE_SHARE = 0.01  # replies of such services are not counted
 FULL_SHARE = 0.8  # of the bound in use, for it to grow
 URGENT_LIFETIME_S = 2.0  # a class that nobody asks for has nothing reserved
@@ -87,14 +87,16 @@
         bound = self._get_bound(part.service)
         self._add(bound, late, took_s, now)
         if bound.late_share > MAX_LATE_SHARE:
-            self._lower(part.service, bound, now)
+            self._lower(part, bound, now)
         elif part.service not in self._bounded:
             if bound.late_share < FORGOTTEN_LATE_SHARE:
                 del self._bounds[part.service]
         elif not late:
             in_flight = self._count_in_flight(part.service)
             if in_flight + 1 >= FULL_SHARE * bound.limit:
-                bound.limit += 1.0 / bound.limit
+                # All nodes together grow by about the same in any fleet.
+                step = min(1.0, self._find_least(part, now))
+                bound.limit += step / max(1.0, bound.limit)
 
     def record_refusal(self, attempt: boards.Attempt, now: float) -> None:
         """Learns from the refusal of a server that is full.
@@ -109,7 +111,7 @@
         bound = self._get_bound(service)
         self._add(bound, True, bound.latency_s or route.objective_s, now)
         if bound.late_share > MAX_LATE_SHARE:
-            self._lower(service, bound, now)
+            self._lower(attempt.part, bound, now)
 
     def record_unanswered(self, attempt: boards.Attempt, now: float) -> None:
         """Learns from an attempt that is given up after its time."""
@@ -118,9 +120,7 @@
 
     def is_full(self, part: boards.Part, now: float) -> bool:
         """Returns whether a part's service has no capacity for its class."""
-        return part.service in self._bounded and self._is_full(
-            part.service, part.exchange.route, now
-        )
+        return part.service in self._bounded and self._is_full(part, now)
 
     def _add(
         self, bound: _Bound, late: bool, took_s: float, now: float
@@ -145,8 +145,7 @@
         return [
             part
             for part in exchange.parts
-            if part.service in self._bounded
-            and self._is_full(part.service, exchange.route, now)
+            if part.service in self._bounded and self._is_full(part, now)
         ]
 
     def find_return(
@@ -168,17 +167,22 @@
         """Returns the bounds in force, by service."""
         return {name: self._bounds[name].limit for name in self._bounded}
 
-    def _is_full(self, service: str, route: routes.Route, now: float) -> bool:
+    def _is_full(self, part: boards.Part, now: float) -> bool:
+        service, route = part.service, part.exchange.route
         bound = self._bounds[service]
         if now - bound.pressed_at > CALM_S:
             self._lift(service)
             return False
         # The share may have grown since, as when another node ended.
-        limit = max(bound.limit, self._find_least(service, now))
+        limit = max(bound.limit, self._find_least(part, now))
         limit *= LESS_URGENT_SHARE ** self._count_more_urgent(
             service, route.priority, now
         )
-        return self._count_in_flight(service) >= limit
+        left = limit - self._count_in_flight(service)
+        if route.shards or left >= 1.0:
+            return left <= 0.0
+        # With many nodes, each may have less than one request.
+        return self._board.rng.random() >= left
 
     def _count_more_urgent(
         self, service: str, priority: int, now: float
@@ -197,14 +201,15 @@
         }
         return len(urgent)
 
-    def _lower(self, service: str, bound: _Bound, now: float) -> None:
+    def _lower(self, part: boards.Part, bound: _Bound, now: float) -> None:
         """Lowers a bound, at most once in the time of a reply."""
         if now - bound.changed_at < bound.latency_s:
             return
         bound.changed_at = now
+        service = part.service
         in_flight = self._count_in_flight(service) + 1
         bound.limit = max(
-            self._find_least(service, now),
+            self._find_least(part, now),
             DECREASE * min(bound.limit, in_flight),
         )
         if service not in self._bounded:
@@ -220,14 +225,20 @@
     def _note(self, service: str, detail: str) -> None:
         self._board.notes.append(boards.Note('bound', '', service, detail))
 
-    def _find_least(self, service: str, now: float) -> float:
-        """Returns this node's share of the slots of a service."""
+    def _find_least(self, part: boards.Part, now: float) -> float:
+        """Returns the bound that a service keeps in any case.
+
+        It is this node's share of the slots, and MIN_BOUND unless that of many
+        nodes together would fill the queues of the servers.
+        """
         slots = sum(
             server.entry.slots
-            for server in self._board.list_usable(service, now)
+            for server in self._board.list_usable(part.service, now)
         )
         share = slots / (len(self._board.peers) + 1)
-        return max(MIN_BOUND, share)
+        if part.exchange.route.shards:
+            return max(MIN_BOUND, share)
+        return max(share, min(MIN_BOUND, MAX_PER_SLOT * share))
 
     def _count_in_flight(self, service: str) -> int:
         candidates = self._board.registry.by_service.get(service, {})
