Evacuate domains, cool servers and send bursts in the soak test

Cause: the soak test knew none of the faults of the heavy load.

Change: adapter/fleetfaults.py evacuates one failure domain for 4 to 7 s while one to three servers elsewhere are cold at 10 requests a second. No request may reach the domain from 3 s after the key was written until it is removed, from nodes that got no signal for 4 s. No cold server may get more than 20 requests in any second, whoever sent them. Both are checked from 3 s after the store last failed. The period ends when the store goes back to a copy. Within a period odd entries are not written under the ids of servers.

--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -81,6 +81,7 @@
             answer; new connections are refused), `truncated` (likewise, within
             the answer), `supervised` (its listening socket stays open) or
             `silent` (nothing is closed or answered until it is back).
+        warm_at: Until when servers are cold, by id, as new entries state.
     """
 
     def __init__(self, folder, network='127.77'):
@@ -106,6 +107,7 @@
         self.crash_manner = 'closed'
         self.crash_down_s = CRASH_DOWN_S
         self.servers = {}
+        self.warm_at = {}
         self._server_sockets = {}
         self.processes = {}
         self.program = ('-m', 'balsamshore_platform')
@@ -253,14 +255,21 @@
         entry['born'] += 1
         self.leaving_servers.discard(server_id)
         self.server_waits.pop(server_id, None)
+        self._update_warmup(server_id)
         await self.put(f'servers/{server_id}', entry)
 
     async def report_server(self, server_id):
         """Writes the entry of a server again, as its next heartbeat."""
         entry = self.servers[server_id]
         entry['seq'] += 1
+        self._update_warmup(server_id)
         await self.put(f'servers/{server_id}', entry)
 
+    def _update_warmup(self, server_id):
+        now = asyncio.get_running_loop().time()
+        cold_s = max(0.0, self.warm_at.get(server_id, now) - now)
+        self.servers[server_id]['warmupLeftMs'] = round(cold_s * 1000)
+
     async def drain(self, server_id):
         entry = {**self.servers[server_id], 'state': 'draining', 'seq': 2}
         await self.put(f'servers/{server_id}', entry)
--- a/tests/adapter/ledgers.py
+++ b/tests/adapter/ledgers.py
@@ -227,7 +227,7 @@
             for limit, begin, end, told in _list_periods(statements):
                 allowed = RATE_TOLERANCE * RATE_WINDOW_S * limit
                 allowed += EXCUSED_ARRIVALS
-                worst = _count_worst_window(
+                worst = count_worst_window(
                     arrival.at
                     for arrival in arrivals
                     if begin + STABLE_WINDOW_S <= arrival.at < end
@@ -392,12 +392,12 @@
     return periods
 
 
-def _count_worst_window(times):
+def count_worst_window(times, window_s=RATE_WINDOW_S):
     """Returns the most times in a window."""
     times = sorted(times)
     end = worst = 0
     for begin, at in enumerate(times):
-        while end < len(times) and times[end] < at + RATE_WINDOW_S:
+        while end < len(times) and times[end] < at + window_s:
             end += 1
         worst = max(worst, end - begin)
     return worst
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -16,6 +16,7 @@
 Configurations, some of them large, travel between nodes over links that become
 slow or stand still.
 Callers send without end or read no answers, on many connections at once.
+A failure domain is evacuated, servers become cold, and a class is in a burst.
 The test checks what callers and servers observed against the program's
 guarantees and the bounds on attempts. On violations it prints their seeds and
 exits with status 1.
@@ -38,6 +39,7 @@
 from adapter import cutoffs
 from adapter import emulator
 from adapter import endless
+from adapter import fleetfaults
 from adapter import floods
 from adapter import ledgers
 from adapter import links
@@ -67,10 +69,13 @@
 FLOOD_PORTS = (8226, 8225, 9464)  # of callers, address answers and metrics
 FLOOD_CONNECTIONS = 40
 MAX_NODE_KB = 120_000  # peak of the memory of a node's process
+BURST_PAUSE_S = 2.0  # mean
+BURST_S = 1.5
 HEARTBEAT_S = 1.2  # of a server, until it writes its entry again
 MIN_STALL_S = 0.15  # of all servers; half of the goal of /q/x
 MAX_PROBES = 5  # of a node, while all servers stand still
 DEADLINE_MS = 2000  # of each caller
+TARGETS = ('/q/x', '/p/x', '/n/x')
 REFUSAL_STATUSES = (429, 503)
 CRASHING_TARGETS = ('/p/crash', '/q/crash')
 CRASH_REPEAT_S = 0.3
@@ -86,6 +91,7 @@
 
     def __init__(self, soak, index, number):
         self.soak = soak
+        self.bursts = number == 2
         self.index = index
         self.name = f'c{index}{number}'
         self.count = 0
@@ -109,14 +115,15 @@
             while not self.soak.ended:
                 if not await self._send(reader, writer):
                     return
-                await asyncio.sleep(0.02)
+                in_burst = self.bursts and self.soak.burst
+                await asyncio.sleep(0.001 if in_burst else 0.02)
         finally:
             writer.close()
 
     async def _send(self, reader, writer):
         self.count += 1
         request_id = f'{self.name}-{self.count}'
-        target = ('/q/x', '/p/x', '/n/x')[self.count % 3]
+        target = (self.bursts and self.soak.burst) or TARGETS[self.count % 3]
         method = 'POST' if target == '/n/x' else 'GET'
         self.soak.platform.record_sent(
             request_id, target, DEADLINE_MS / 1000, self.index
@@ -197,6 +204,9 @@
         self.cut_rng = random.Random(seed)
         self.odd_rng = random.Random(seed)
         self.flood_rng = random.Random(seed)
+        self.burst_rng = random.Random(seed)
+        self.burst = ''
+        self.fleet = fleetfaults.FleetFaults(self, seed)
 
     async def run(self, seconds):
         platform = self.platform
@@ -214,10 +224,11 @@
         try:
             for number in range(6):
                 service = 'abc'[number % 3]
+                zone = fleetfaults.DOMAINS[number // 3]
                 await platform.add_server(
-                    f'{service}{number // 3}', service, number + 1
+                    f'{service}{number // 3}', service, number + 1, zone
                 )
-            await platform.put('op/config', emulator.make_table(1))
+            await self.write_configuration()
             self.store_copy = platform.copy_store()
             for index in range(1, self.nodes + 1):
                 platform.start_node(f'n{index}', index)
@@ -225,13 +236,15 @@
             callers = [
                 asyncio.create_task(Caller(self, index, number).run())
                 for index in range(1, self.nodes + 1)
-                for number in range(2)
+                for number in range(3)
             ]
             callers.append(asyncio.create_task(Crasher(self).run()))
             disturbing = [
                 asyncio.create_task(self.cut_nodes_off()),
                 asyncio.create_task(self.write_odd_entries()),
                 asyncio.create_task(self.flood_nodes()),
+                asyncio.create_task(self.burst_class()),
+                asyncio.create_task(self.fleet.run()),
             ]
             await self.inject_faults(seconds)
             for task in disturbing:
@@ -266,7 +279,10 @@
                   self.change_link, self.signal_node,
                   self.signal_node)  # fmt: skip
         for _ in range(round(seconds / MEAN_FAULT_PAUSE_S)):
-            await self.rng.choice(faults)()
+            fault = self.rng.choice(faults)
+            calm = asyncio.get_running_loop().time() < self.fleet.calm_until
+            if not calm or fault not in (self.fail_store, self.restore_store):
+                await fault()
             await asyncio.sleep(MEAN_FAULT_PAUSE_S * self.rng.random() * 2)
 
     async def cut_nodes_off(self):
@@ -288,7 +304,7 @@
             server_id = self.odd_rng.choice(sorted(self.platform.servers))
             entry = self.platform.servers[server_id]
             odd = oddvalues.choose(self.odd_rng, entry)
-            if self.odd_rng.random() < 0.7:
+            if self.odd_rng.random() < 0.7 or server_id in self.fleet.kept:
                 await self.platform.put(ODD_KEY, odd)
                 continue
             await self.platform.put(f'servers/{server_id}', odd)
@@ -309,6 +325,16 @@
             ):
                 await asyncio.sleep(MEAN_FLOOD_PAUSE_S * rng.random() * 2)
 
+    async def burst_class(self):
+        """Lets a caller of each node send one class fast for a while."""
+        while True:
+            await asyncio.sleep(BURST_PAUSE_S * self.burst_rng.random() * 2)
+            self.burst = self.burst_rng.choice(TARGETS)
+            try:
+                await asyncio.sleep(BURST_S)
+            finally:
+                self.burst = ''
+
     async def fail_server(self):
         name = self.rng.choice(sorted(self.platform.server_modes))
         self.platform.server_modes[name] = self.rng.choice(SERVER_MODES)
@@ -365,6 +391,7 @@
         """Lets the store go back to a copy of a while ago."""
         copy, self.store_copy = self.store_copy, self.platform.copy_store()
         self.platform.restore_store(copy)
+        self.fleet.end = asyncio.get_running_loop().time()
         self.rewriting = asyncio.create_task(self.rewrite_store())
 
     async def rewrite_store(self):
@@ -398,6 +425,8 @@
 
     async def write_configuration(self):
         table = emulator.make_table(self.version, extra=self.added_routes)
+        for service in table['services']:
+            service['coldPerS'] = fleetfaults.COLD_PER_S
         await self.platform.put('op/config', table)
 
     async def write_invalid_configuration(self):
@@ -442,6 +471,9 @@
             await platform.crash_server(name)
         await asyncio.gather(*self.restarts)
         await platform.remove(ODD_KEY)
+        for domain in fleetfaults.DOMAINS:
+            await platform.remove(f'op/evacuate/{domain}')
+        platform.warm_at.clear()
         for server_id in platform.servers:
             await platform.report_server(server_id)
         self.proxy.apply(proxy.Rule())
@@ -581,6 +613,7 @@
             *ledger.check_limits(self.is_sender_in_touch),
             *ledger.check_departures(self.was_disturbed),
             *ledger.check_waits(self.was_disturbed),
+            *self.fleet.check(ledger.arrivals),
         ]
         for target in CRASHING_TARGETS:
             self.violations += ledger.check_crashing(target, self.is_in_touch)
--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -71,6 +71,19 @@
     assert 'node 1 took' in soak_run.violations[0]
 
 
+def test_requests_to_evacuated_and_cold_servers_are_detected(tmp_path):
+    fleet = make_soak(tmp_path).fleet
+    fleet.periods = [({'a0'}, ['a1'], 3.0, 5.0)]
+    rest = ('r1', 'a', 1, None, True, '127.101.2.1')
+    arrivals = [
+        soak.ledgers.Arrival(at, *rest[:2], server_id, *rest[2:])
+        for server_id, at in [('a0', 2.9), ('a0', 5.0), ('a0', 3.0)]
+        + [('a1', 3.0 + 0.04 * number) for number in range(21)]
+    ]
+    assert not [*fleet.check(arrivals[:2] + arrivals[4:])]
+    assert len([*fleet.check(arrivals)]) == 2
+
+
 class Platform:
     """Answers the first probes in part, then in full."""
 
