--- a/packages/core/balsamshore_core/forwarding/servers.py
+++ b/packages/core/balsamshore_core/forwarding/servers.py
@@ -446,15 +446,17 @@
         self._note_cold(server, now)
 
     def _note_cold(self, server: Server, now: float) -> None:
-        if server.entry.cold_s > 0:
-            if server.cold_until < now and server.slowness < COLD_SLOWNESS:
-                server.slowness = COLD_SLOWNESS
-                server.sampled_at = now
-            server.cold_until = max(
-                server.cold_until, now + server.entry.cold_s
-            )
-            self.cold[server.entry.server_id] = server
-            self.limit_cold(server, now)
+        """Notes how long a server is cold, as its newest entry says."""
+        cold_s = server.entry.cold_s
+        if cold_s <= 0:
+            server.cold_until = min(server.cold_until, now)
+            return
+        if server.cold_until < now and server.slowness < COLD_SLOWNESS:
+            server.slowness = COLD_SLOWNESS
+            server.sampled_at = now
+        server.cold_until = now + cold_s
+        self.cold[server.entry.server_id] = server
+        self.limit_cold(server, now)
 
     def limit_cold(self, server: Server, now: float) -> None:
         """Sets the limit of a server that is cold, if its service has one."""
--- a/tests/forwarding/test_evacuations.py
+++ b/tests/forwarding/test_evacuations.py
@@ -259,3 +259,16 @@
     assert server.warmup.find_rate(53.5) == 10.0
     catalog.apply([catalogs.Item('t', 3, b'web b 0')], 2, 3, 60.0)
     assert server.warmup is None
+
+
+def test_an_odd_cold_time_ends_with_the_next_entry():
+    """Guards against one entry of another writer that limits a server."""
+    board, catalog = make_catalog()
+    service = routes.Service('web', 100, cold_rate=5.0)
+    board.table = routes.build_table(1, (), [service], routes.CallerLimits())
+    catalog.apply([catalogs.Item('s', 1, b'web b 1e6')], 0, 1, 0.0)
+    server = board.registry.find('s')
+    assert server.cold_until == 1e6
+    catalog.apply([catalogs.Item('s', 2, b'web b 0')], 1, 2, 1.0)
+    assert server.cold_until == 1.0
+    assert server.count_tokens(1.0, 1.0 + 2 * ratelimits.RECOVERY_S) > 5.0
