--- a/tests/adapter/emulator.py
+++ b/tests/adapter/emulator.py
@@ -399,7 +399,6 @@
             'limits.cpuShare': 0.5, 'limits.cores': 2,
             'bounds.graceS': GRACE_S,
             'bounds.drainMs': round(ledgers.DRAIN_S * 1000),
-            'bounds.evacuateMs': 5_000,
             'bounds.retryRatio': bounds.extra_ratio,
             'bounds.retrySlack': bounds.extra_slack,
             'bounds.retryWindowS': bounds.extra_window_s,
@@ -424,7 +423,11 @@
         with open(self.folder / f'{name}.log', 'ab') as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, *self.program],
-                env={**os.environ, 'BALSAMSHORE_CONFIG': str(path)},
+                env={
+                    **os.environ,
+                    'BALSAMSHORE_CONFIG': str(path),
+                    'BALSAMSHORE_EVACUATE_MS': '5000',
+                },
                 stdout=log,
                 stderr=log,
                 cwd=ROOT / 'tests',
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -343,7 +343,7 @@
         'bootstrap': True,
         'portRange.0': 5, 'seeds': ['127.0.0.2:3'], 'limits.cpuShare': 0.5,
         'limits.cores': 2, 'bounds.graceS': 6, 'bounds.retryRatio': 0.2,
-        'bounds.drainMs': 5000, 'bounds.evacuateMs': None,
+        'bounds.drainMs': 5000,
         'bounds.retrySlack': 54, 'bounds.retryWindowS': 10,
         'platform.address': '127.0.0.1:6', **changes,
     }  # fmt: skip
@@ -365,14 +365,16 @@
     assert decoded.store_address == '127.0.0.1:6'
 
 
-@pytest.mark.parametrize(('bound', 'listed'), [(None, False), (5000, True)])
+@pytest.mark.parametrize(('bound', 'listed'), [('', False), ('5000', True)])
 def test_evacuations_are_listed_where_the_deployment_has_them(
     tmp_path, bound, listed
 ):
     """Guards against a further store call where nobody can evacuate."""
     path = tmp_path / 'settings.json'
-    path.write_text(fill_template(**{'bounds.evacuateMs': bound}))
-    decoded = settings.SettingsFile({'BALSAMSHORE_CONFIG': str(path)}).read()
+    path.write_text(fill_template())
+    decoded = settings.SettingsFile(
+        {'BALSAMSHORE_CONFIG': str(path), 'BALSAMSHORE_EVACUATE_MS': bound}
+    ).read()
     assert decoded.evacuates is listed
 
 
